Thin path from a caller through an entry instance to an engine

One streamed chat completion passes through two processes: cmd/rhubarbpoint serve and cmd/standin engine. The platform, engine and peer interfaces are in place, with an in-memory store for tests. Retries, limits and membership do not exist yet.

--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench runs the policy benchmarks.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/rhubarbpoint/serve.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"rhubarbpoint/daemon"
+	"rhubarbpoint/settings"
+)
+
+type serveCommand struct {
+	settings string
+}
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run an entry instance" }
+func (*serveCommand) Usage() string {
+	return "serve -settings FILE\n\tRun an entry instance until SIGTERM, then stop gracefully.\n"
+}
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings file of this instance, in JSON")
+}
+
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	if err := daemon.Run(ctx, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/config/orders.go
@@ -0,0 +1,41 @@
+package config
+
+// Orders is the section of the order team: the plain services beside the models.
+type Orders struct {
+	// Services lists the plain services. Names are unique.
+	Services []Service `json:"services"`
+}
+
+// Service is one plain HTTP service, reached by callers under /services/<name>/.
+type Service struct {
+	// Name has 1 to 63 lower-case letters, digits and hyphens.
+	Name string `json:"name"`
+	// Routes say which calls exist and which of them may be repeated. The first match decides; a call that matches
+	// none is refused with 404.
+	Routes []Route `json:"routes"`
+	// Upstreams are the replicas of the service; at least one.
+	Upstreams []Upstream `json:"upstreams"`
+	// Timeout bounds one attempt at a call; 100ms to 60s. Default 5s.
+	Timeout Duration `json:"timeout,omitempty"`
+}
+
+// Route is one kind of call to a service.
+type Route struct {
+	// Method is an HTTP method in capitals.
+	Method string `json:"method"`
+	// Path is a path below the service, starting with "/". A path that ends in "/" matches all below it.
+	Path string `json:"path"`
+	// Idempotent calls may be repeated. All others run at most once and need an Idempotency-Key.
+	Idempotent bool `json:"idempotent,omitempty"`
+}
+
+// Upstream is one replica of a plain service.
+type Upstream struct {
+	// ID is unique over all upstreams and engines.
+	ID string `json:"id"`
+	// Address is IP:port.
+	Address string `json:"address"`
+	// Region and Zone name entries of the network section.
+	Region string `json:"region"`
+	Zone   string `json:"zone"`
+}
--- /dev/null
+++ b/engine/request.go
@@ -0,0 +1,28 @@
+package engine
+
+import "time"
+
+// Message is one chat message.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Request is one attempt at a generation.
+type Request struct {
+	RequestID string    `json:"request_id"`
+	Attempt   string    `json:"attempt"`
+	Caller    string    `json:"caller"`
+	Model     string    `json:"model"`
+	Version   string    `json:"version"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Priority  int       `json:"priority"`
+	Deadline  time.Time `json:"deadline"`
+	// Delivered holds the tokens already delivered to the caller; generation continues after them.
+	Delivered []string `json:"delivered,omitempty"`
+	// KV names imported KV cache of the prompt, if any.
+	KV *KVHandle `json:"kv,omitempty"`
+	// PrefillOnly asks for the prompt to be processed and kept for export, without generating.
+	PrefillOnly bool `json:"prefill_only,omitempty"`
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,32 @@
+// Package event declares numbered log events, so that operators can search for and alert on a stable number instead
+// of a message text. Each package declares its events in events.go; docs/events.md lists all of them.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is one kind of log line. Its ID never changes its meaning once released.
+type Event struct {
+	ID    int
+	Name  string
+	Level slog.Level
+	Doc   string
+}
+
+// New declares an event and adds it to the registry. It panics when the ID or the name is taken, which a package
+// initialisation reveals at once. It must be called from package-level variable declarations only.
+func New(id int, name string, level slog.Level, doc string) *Event {
+	e := &Event{ID: id, Name: name, Level: level, Doc: doc}
+	registry.add(e)
+	return e
+}
+
+// Log writes the event with its number and the given attributes. It is safe for concurrent use.
+func (e *Event) Log(ctx context.Context, logger *slog.Logger, attrs ...slog.Attr) {
+	if logger == nil || !logger.Enabled(ctx, e.Level) {
+		return
+	}
+	logger.LogAttrs(ctx, e.Level, e.Name, append([]slog.Attr{slog.Int("event", e.ID)}, attrs...)...)
+}
--- /dev/null
+++ b/internal/standin/engine/answer_test.go
@@ -0,0 +1,23 @@
+package engine_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/engine"
+	standin "rhubarbpoint/internal/standin/engine"
+)
+
+// Guards against answers that cannot be told apart, which would hide a crossed answer in other tests.
+func TestAnswersDifferByMessageAndVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first := &engine.Request{Model: "m", Version: "1", MaxTokens: 8, Messages: []engine.Message{{Role: "user", Content: "a"}}}
+	second := *first
+	second.Messages = []engine.Message{{Role: "user", Content: "b"}}
+	third := *first
+	third.Version = "2"
+	g.Expect(standin.Answer(first)).To(gomega.Equal(standin.Answer(first)))
+	g.Expect(standin.Answer(first)).NotTo(gomega.Equal(standin.Answer(&second)))
+	g.Expect(standin.Answer(first)).NotTo(gomega.Equal(standin.Answer(&third)))
+}
--- /dev/null
+++ b/peer/remote_error.go
@@ -0,0 +1,10 @@
+package peer
+
+// RemoteError is an error that the called instance returned.
+type RemoteError struct {
+	Code    string
+	Message string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string { return "peer: " + e.Code + ": " + e.Message }
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Runs every check of the project: format, vet, staticcheck, file names in the docs, tests with the race detector.
+set -eu
+GO="${GO:-go}"
+cd "$(dirname "$0")/.."
+
+unformatted=$(git ls-files -co --exclude-standard '*.go' | xargs gofmt -l)
+if [ -n "$unformatted" ]; then
+	echo "gofmt would change:"
+	echo "$unformatted"
+	exit 1
+fi
+$GO vet ./...
+$GO tool staticcheck ./...
+sh scripts/check-docs.sh
+$GO test -race -timeout 20m ./...
--- /dev/null
+++ b/topo/errors.go
@@ -0,0 +1,16 @@
+package topo
+
+import "github.com/cockroachdb/errors"
+
+// Errors of the platform, to be tested with errors.Is.
+var (
+	ErrNotFound      = errors.New("topo: key not found")
+	ErrConflict      = errors.New("topo: revision conflict")
+	ErrLeaseNotFound = errors.New("topo: lease not found")
+	ErrTooLarge      = errors.New("topo: value too large")
+	ErrRateLimited   = errors.New("topo: rate limit exceeded")
+	// ErrUnavailable means that the call was certainly not executed.
+	ErrUnavailable = errors.New("topo: platform unavailable")
+	// ErrAmbiguous means that a write may have taken effect, or may still do so.
+	ErrAmbiguous = errors.New("topo: outcome of write unknown")
+)
--- /dev/null
+++ b/topo/httptopo/doc.go
@@ -0,0 +1,2 @@
+// Package httptopo is the HTTP adapter to the platform's store and instance list.
+package httptopo
--- /dev/null
+++ b/topo/memtopo/lease.go
@@ -0,0 +1,75 @@
+package memtopo
+
+import (
+	"context"
+	"time"
+
+	"rhubarbpoint/topo"
+)
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Grant implements topo.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (topo.LeaseID, error) {
+	var id topo.LeaseID
+	err := s.do(ctx, topo.OpGrant, "", func() error {
+		s.nextLease++
+		id = s.nextLease
+		s.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+		// Expiry must reach watchers also when no call follows.
+		time.AfterFunc(ttl, s.expireNow)
+		return nil
+	})
+	return id, err
+}
+
+// KeepAlive implements topo.Store.
+func (s *Store) KeepAlive(ctx context.Context, id topo.LeaseID) error {
+	return s.do(ctx, topo.OpKeepAlive, "", func() error {
+		l := s.leases[id]
+		if l == nil {
+			return topo.ErrLeaseNotFound
+		}
+		l.expires = time.Now().Add(l.ttl)
+		time.AfterFunc(l.ttl, s.expireNow)
+		return nil
+	})
+}
+
+// Revoke implements topo.Store.
+func (s *Store) Revoke(ctx context.Context, id topo.LeaseID) error {
+	return s.do(ctx, topo.OpRevoke, "", func() error {
+		if s.leases[id] == nil {
+			return topo.ErrLeaseNotFound
+		}
+		s.drop(id)
+		return nil
+	})
+}
+
+func (s *Store) expireNow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+}
+
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if !now.Before(l.expires) {
+			s.drop(id)
+		}
+	}
+}
+
+func (s *Store) drop(id topo.LeaseID) {
+	delete(s.leases, id)
+	for key, e := range s.entries {
+		if e.Lease == id {
+			s.remove(key)
+		}
+	}
+}
--- /dev/null
+++ b/topo/memtopo/store.go
@@ -0,0 +1,232 @@
+// Package memtopo implements the platform in memory, with injected faults. Tests use it in place of the platform, and
+// the platform stand-in serves it over HTTP.
+package memtopo
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"rhubarbpoint/topo"
+)
+
+// Store is a key-value service in memory. It is safe for concurrent use. Leases lapse by time.Now, so that it can run
+// in the virtual time of testing/synctest.
+type Store struct {
+	faults Faults
+
+	mu        sync.Mutex
+	revision  int64
+	entries   map[string]topo.Entry
+	deleted   map[string]int64 // revision of deletion, for watches
+	leases    map[topo.LeaseID]*lease
+	nextLease topo.LeaseID
+	changed   chan struct{} // closed and replaced at each change
+	calls     map[topo.Op]int64
+}
+
+var _ topo.Store = (*Store)(nil)
+
+// New returns an empty store. A nil faults injects none.
+func New(faults Faults) *Store {
+	if faults == nil {
+		faults = NoFaults{}
+	}
+	return &Store{
+		faults:  faults,
+		entries: make(map[string]topo.Entry),
+		deleted: make(map[string]int64),
+		leases:  make(map[topo.LeaseID]*lease),
+		changed: make(chan struct{}),
+		calls:   make(map[topo.Op]int64),
+	}
+}
+
+// Calls returns how many calls of each kind were made.
+func (s *Store) Calls() map[topo.Op]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make(map[topo.Op]int64, len(s.calls))
+	for op, n := range s.calls {
+		counts[op] = n
+	}
+	return counts
+}
+
+// Get implements topo.Store.
+func (s *Store) Get(ctx context.Context, key string) (topo.Entry, error) {
+	var found topo.Entry
+	err := s.do(ctx, topo.OpGet, key, func() error {
+		e, ok := s.entries[key]
+		if !ok {
+			return topo.ErrNotFound
+		}
+		found = clone(e)
+		return nil
+	})
+	return found, err
+}
+
+// List implements topo.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]topo.Entry, error) {
+	var found []topo.Entry
+	err := s.do(ctx, topo.OpList, prefix, func() error {
+		for key, e := range s.entries {
+			if strings.HasPrefix(key, prefix) {
+				found = append(found, clone(e))
+			}
+		}
+		return nil
+	})
+	slices.SortFunc(found, func(a, b topo.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return found, err
+}
+
+// Put implements topo.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expect int64, id topo.LeaseID) (int64, error) {
+	if len(value) > topo.MaxValueBytes {
+		return 0, topo.ErrTooLarge
+	}
+	value = append([]byte{}, value...)
+	var revision int64
+	err := s.do(ctx, topo.OpPut, key, func() error {
+		old, exists := s.entries[key]
+		if old.Revision != expect {
+			return topo.ErrConflict
+		}
+		if id != 0 && s.leases[id] == nil {
+			return topo.ErrLeaseNotFound
+		}
+		revision = s.bump()
+		created := revision
+		if exists {
+			created = old.Created
+		}
+		delete(s.deleted, key)
+		s.entries[key] = topo.Entry{Key: key, Value: value, Revision: revision, Created: created, Lease: id}
+		return nil
+	})
+	return revision, err
+}
+
+// Delete implements topo.Store.
+func (s *Store) Delete(ctx context.Context, key string, expect int64) error {
+	return s.do(ctx, topo.OpDelete, key, func() error {
+		old, exists := s.entries[key]
+		if !exists {
+			return topo.ErrNotFound
+		}
+		if old.Revision != expect {
+			return topo.ErrConflict
+		}
+		s.remove(key)
+		return nil
+	})
+}
+
+// Watch implements topo.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Entry, int64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	op := topo.OpWatch
+	for {
+		var found []topo.Entry
+		var last int64
+		var changed chan struct{}
+		err := s.do(ctx, op, prefix, func() error {
+			found, last, changed = s.since(prefix, after), s.revision, s.changed
+			return nil
+		})
+		if err != nil || len(found) > 0 {
+			return found, last, err
+		}
+		op = topo.OpNone // the rest of the wait is the same call
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, last, nil
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after int64) []topo.Entry {
+	var found []topo.Entry
+	for key, e := range s.entries {
+		if e.Revision > after && strings.HasPrefix(key, prefix) {
+			found = append(found, clone(e))
+		}
+	}
+	for key, revision := range s.deleted {
+		if revision > after && strings.HasPrefix(key, prefix) {
+			found = append(found, topo.Entry{Key: key, Revision: revision})
+		}
+	}
+	slices.SortFunc(found, func(a, b topo.Entry) int { return int(a.Revision - b.Revision) })
+	return found
+}
+
+// do counts a call, injects faults and runs it under the lock.
+func (s *Store) do(ctx context.Context, op topo.Op, key string, run func() error) error {
+	fault := s.faults.Next(op, key)
+	if fault.Delay > 0 {
+		select {
+		case <-time.After(fault.Delay):
+		case <-ctx.Done():
+			return s.interrupted(op, fault, run)
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if op != topo.OpNone {
+		s.calls[op]++
+	}
+	if fault.Refuse {
+		return topo.ErrUnavailable
+	}
+	s.expire()
+	err := run()
+	if fault.LoseAnswer {
+		return topo.ErrAmbiguous
+	}
+	return err
+}
+
+// interrupted ends a call whose sender gave up during the delay. A write may still land afterwards.
+func (s *Store) interrupted(op topo.Op, fault Fault, run func() error) error {
+	if !op.Writes() {
+		return topo.ErrUnavailable
+	}
+	if fault.Late > 0 {
+		time.AfterFunc(fault.Late, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.expire()
+			_ = run()
+		})
+	}
+	return topo.ErrAmbiguous
+}
+
+func (s *Store) bump() int64 {
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+func (s *Store) remove(key string) {
+	delete(s.entries, key)
+	s.deleted[key] = s.bump()
+}
+
+func clone(e topo.Entry) topo.Entry {
+	e.Value = append([]byte{}, e.Value...)
+	return e
+}
--- /dev/null
+++ b/topo/op.go
@@ -0,0 +1,26 @@
+package topo
+
+// Op is a kind of call to the store, for counting against the budget.
+type Op string
+
+// The kinds of calls. OpNone is not counted.
+const (
+	OpNone      Op = ""
+	OpGet       Op = "get"
+	OpList      Op = "list"
+	OpPut       Op = "put"
+	OpDelete    Op = "delete"
+	OpGrant     Op = "grant"
+	OpKeepAlive Op = "keepalive"
+	OpRevoke    Op = "revoke"
+	OpWatch     Op = "watch"
+)
+
+// Writes says whether the call changes the store.
+func (o Op) Writes() bool {
+	switch o {
+	case OpPut, OpDelete, OpGrant, OpKeepAlive, OpRevoke:
+		return true
+	}
+	return false
+}
