--- /dev/null
+++ b/claim/fuzz_test.go
@@ -0,0 +1,134 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// action is one step of a scenario.
+type action struct {
+	After    time.Duration
+	Kind     string
+	Proc     int
+	Key      int
+	Deadline time.Duration
+	HangUp   time.Duration // 0: the caller waits for the answer
+}
+
+// scenario is drawn as a whole before it runs, since rapid must not be called in a synctest bubble.
+type scenario struct {
+	Seed    uint64
+	Skews   []time.Duration
+	Keys    []time.Duration // time of each key relative to the start
+	Store   float64
+	Net     float64
+	Send    float64
+	Actions []action
+}
+
+func span(min, max time.Duration) *rapid.Generator[time.Duration] {
+	return rapid.Map(rapid.Int64Range(int64(min/time.Millisecond), int64(max/time.Millisecond)),
+		func(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond })
+}
+
+func drawAction(t *rapid.T, procs, keys int) action {
+	a := action{
+		After: rapid.OneOf(span(0, 50*time.Millisecond), span(0, 3*time.Second), span(0, 4*time.Minute)).Draw(t, "after"),
+		Kind: rapid.SampledFrom([]string{
+			"run", "run", "run", "run", "run", "run", "pause", "kill", "outage", "recover",
+		}).Draw(t, "kind"),
+		Proc:     rapid.IntRange(0, procs-1).Draw(t, "proc"),
+		Key:      rapid.IntRange(0, keys-1).Draw(t, "key"),
+		Deadline: span(50*time.Millisecond, 40*time.Second).Draw(t, "deadline"),
+	}
+	if rapid.IntRange(0, 3).Draw(t, "hangs up") == 0 {
+		a.HangUp = span(time.Millisecond, 5*time.Second).Draw(t, "hang up")
+	}
+	return a
+}
+
+func drawScenario(t *rapid.T) scenario {
+	procs := rapid.IntRange(2, 5).Draw(t, "procs")
+	keys := rapid.IntRange(1, 6).Draw(t, "keys")
+	s := scenario{
+		Seed:  rapid.Uint64().Draw(t, "seed"),
+		Store: rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "store"),
+		Net:   rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "net"),
+		Send:  rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "send"),
+	}
+	s.Skews = rapid.SliceOfN(rapid.OneOf(rapid.Just(time.Duration(0)), span(-8*time.Minute, 8*time.Minute)), procs, procs).Draw(t, "skews")
+	s.Keys = rapid.SliceOfN(rapid.OneOf(span(-time.Minute, time.Minute), span(-18*time.Minute, 9*time.Minute)), keys, keys).Draw(t, "keys")
+	for range rapid.IntRange(2, 40).Draw(t, "actions") {
+		s.Actions = append(s.Actions, drawAction(t, procs, keys))
+	}
+	return s
+}
+
+// play runs a scenario and returns the oracle's findings.
+func play(s scenario) []string {
+	w := newWorld(s.Seed, s.Skews)
+	w.storeBad, w.netBad, w.sendBad = s.Store, s.Net, s.Send
+	random := rand.New(rand.NewPCG(s.Seed, 2))
+	keys := make([]string, len(s.Keys))
+	for i, offset := range s.Keys {
+		keys[i] = newKey(random, time.Now().Add(offset), true)
+	}
+	var callers sync.WaitGroup
+	for _, a := range s.Actions {
+		time.Sleep(a.After)
+		p := w.procs[a.Proc]
+		switch a.Kind {
+		case "run":
+			callers.Go(func() { call(p, keys[a.Key], a) })
+		case "pause":
+			p.pause(a.Deadline)
+		case "kill":
+			p.kill()
+		case "outage", "recover":
+			w.mu.Lock()
+			w.outage = a.Kind == "outage"
+			w.mu.Unlock()
+		}
+	}
+	w.heal()
+	time.Sleep(5 * time.Minute) // beyond all deadlines, pauses and late writes
+	entries, err := w.store.List(context.Background(), "claims/0/")
+	w.mu.Lock()
+	if err == nil && len(entries) > slots {
+		w.faults = append(w.faults, fmt.Sprintf("store holds %d slots of one partition", len(entries)))
+	}
+	w.mu.Unlock()
+	w.stop()
+	callers.Wait()
+	return w.check()
+}
+
+func call(p *proc, id string, a action) {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Deadline)
+	defer cancel()
+	if a.HangUp > 0 {
+		time.AfterFunc(a.HangUp, cancel)
+	}
+	p.run(ctx, id)
+}
+
+// TestAtMostOnceUnderFaults guards against a second execution of a key, against not_run for an order that runs at some
+// time, and against answers of orders that were not executed.
+func TestAtMostOnceUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScenario(rt)
+		var found []string
+		synctest.Test(t, func(*testing.T) { found = play(s) })
+		if len(found) > 0 {
+			rt.Fatalf("%s", strings.Join(found, "\n"))
+		}
+	})
+}
