--- /dev/null
+++ b/claim/budget_test.go
@@ -0,0 +1,115 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/peer/peerpb"
+	"rhubarbpoint/topo"
+)
+
+// load runs orders at a steady rate, spread over the instances, and returns how many were answered and the slowest.
+func load(w *world, perSecond, seconds int) (orders int, slowest time.Duration) {
+	random := rand.New(rand.NewPCG(5, 5))
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	for i := range perSecond * seconds {
+		p, id := w.procs[i%len(w.procs)], newKey(random, time.Now(), false)
+		callers.Go(func() {
+			started := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			_, err := p.claimer.Run(ctx, id, Fingerprint{}, answered(id, 20*time.Millisecond))
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				orders++
+			}
+			slowest = max(slowest, time.Since(started))
+		})
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	callers.Wait()
+	return orders, slowest
+}
+
+// TestStoreWritesStayInBudget guards the store budget of the design page: at most 32 × 5 claim writes/s whatever the
+// load, and values below 1 MB. With -v it prints the writes per order and the size of the slots; with -long each rate lasts for more than a
+// whole minute of keys.
+func TestStoreWritesStayInBudget(t *testing.T) {
+	for _, perSecond := range []int{10, 100, 1000} {
+		seconds := 70
+		if perSecond == 1000 && !*long {
+			seconds = 5
+		}
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				w := newWorld(1, make([]time.Duration, 9))
+				defer w.stop()
+				started := time.Now()
+				orders, slowest := load(w, perSecond, seconds)
+				elapsed := time.Since(started).Seconds()
+				g.Expect(orders).To(gomega.Equal(perSecond * seconds))
+				calls := w.store.Calls()
+				writes, reads := calls[topo.OpPut], calls[topo.OpGet]
+				g.Expect(float64(writes)).To(gomega.BeNumerically("<=", partitions*(elapsed*writesPerSecond+writeBurst)))
+				var largest, records int
+				entries, err := w.store.List(context.Background(), "claims/")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				for _, entry := range entries {
+					s, err := decodeSlot(entry)
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					if len(entry.Value) > largest {
+						largest, records = len(entry.Value), len(s.records)
+					}
+				}
+				g.Expect(largest).To(gomega.BeNumerically("<", topo.MaxValueBytes))
+				g.Expect(len(entries)).To(gomega.BeNumerically("<=", partitions*slots))
+				t.Logf("%d orders/s: %.2f writes and %.3f reads per order, %.0f writes/s, largest slot %d bytes with %d records, slowest order %v",
+					perSecond, float64(writes)/float64(orders), float64(reads)/float64(orders), float64(writes)/elapsed, largest, records, slowest)
+			})
+		})
+	}
+}
+
+// TestDirectWritesAreLimited guards the store against an instance that reaches none of its peers: at most 5 direct
+// calls/s in total.
+func TestDirectWritesAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		w := newWorld(1, make([]time.Duration, 9))
+		defer w.stop()
+		w.netBad = 1
+		w.procs = w.procs[:1:1]
+		w.procs[0].claimer.opts.View = stranger{w.procs[0]}
+		started := time.Now()
+		load(w, 10, 70)
+		calls := w.store.Calls()
+		limit := time.Since(started).Seconds()*writesPerSecond + writeBurst
+		g.Expect(float64(calls[topo.OpPut] + calls[topo.OpGet])).To(gomega.BeNumerically("<=", limit))
+		g.Expect(calls[topo.OpPut]).To(gomega.BeNumerically(">", 0))
+	})
+}
+
+// stranger is a view in which other instances write all partitions.
+type stranger struct{ *proc }
+
+func (stranger) Live() []*peerpb.Member { return []*peerpb.Member{{Id: "unreachable"}} }
+
+// TestLoneOrderDoesNotWait guards against a delay of orders while there is no load.
+func TestLoneOrderDoesNotWait(t *testing.T) {
+	inWorld(t, func(g *gomega.WithT, w *world, id string) {
+		started := time.Now()
+		_, err := w.procs[0].claimer.Run(within(time.Second), id, Fingerprint{}, answered(id, 0))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(time.Since(started)).To(gomega.BeNumerically("<", 50*time.Millisecond))
+	})
+}
--- a/topo/memtopo/store.go
+++ b/topo/memtopo/store.go
@@ -108,7 +108,10 @@
 		s.entries[key] = topo.Entry{Key: key, Value: value, Revision: revision, Created: created, Lease: id}
 		return nil
 	})
-	return revision, err
+	if err != nil {
+		return 0, err // a late write may still set revision
+	}
+	return revision, nil
 }
 
 // Delete implements topo.Store.
