Add the platform adapter and the platform stand-in

The entry instances need the store and the instance list over a network. httptopo speaks JSON over HTTP (docs/platform-api.md); the stand-in serves memtopo in that format with rate limits, outages, delays, lost and late writes, silent connections and counts of calls.

A write is reported as not executed only when no connection was obtained or the platform says so by a known code. After a timeout the adapter closes all idle connections as well, since each silent one would cost another 2 s.

memtopo changes: a late write raced with the return of Put and Grant (found by -race), calls that fail during a delay are counted, a lost answer of a read is ErrUnavailable, LoseAnswer with Late lands after the error, errors of an ended context are also ErrUnavailable, and the directory registers, marks and removes single instances. errors.Mark was tried for the errors with two meanings, but the standard errors.Is does not see it.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,6 +12,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&engineCommand{}, "")
+	subcommands.Register(&platformCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/internal/standin/platform/admin.go
@@ -0,0 +1,65 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"rhubarbpoint/topo"
+)
+
+// Calls are the counts of calls by kind since the start. Limited calls are not part of Executed.
+type Calls struct {
+	Executed map[topo.Op]int64 `json:"executed"`
+	Limited  map[topo.Op]int64 `json:"limited"`
+}
+
+// HandlerOn returns Handler with one more endpoint, POST /admin/silence, which makes all open connections of the
+// listener stop carrying data. The answer to it is lost as well.
+func (p *Platform) HandlerOn(l *Listener) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", p.Handler())
+	mux.HandleFunc("POST /admin/silence", func(http.ResponseWriter, *http.Request) { l.Silence() })
+	return mux
+}
+
+// handleAdmin adds the endpoints by which tests and the demo inject faults and change the instance list:
+//
+//	PUT    /admin/faults                  sets the faults in force (Faults); {} ends all
+//	GET    /admin/calls                   counts of calls by kind (Calls)
+//	PUT    /admin/instances               registers an instance (topo.Instance)
+//	POST   /admin/instances/{id}/leaving  marks an instance as leaving
+//	DELETE /admin/instances/{id}          removes an instance; its ID is never shown again
+func (p *Platform) handleAdmin(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /admin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var next Faults
+		if err := strictBody(r, &next); err != nil {
+			reply(w, nil, err)
+			return
+		}
+		p.faults.set(next)
+		reply(w, next, nil)
+	})
+	mux.HandleFunc("GET /admin/calls", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, Calls{Executed: p.store.Calls(), Limited: p.limited.all()}, nil)
+	})
+	mux.HandleFunc("PUT /admin/instances", func(w http.ResponseWriter, r *http.Request) {
+		var instance topo.Instance
+		err := strictBody(r, &instance)
+		if err == nil {
+			err = p.directory.Register(instance)
+		}
+		reply(w, instance, err)
+	})
+	mux.HandleFunc("POST /admin/instances/{id}/leaving", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, struct{}{}, p.directory.MarkLeaving(r.PathValue("id")))
+	})
+	mux.HandleFunc("DELETE /admin/instances/{id}", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, struct{}{}, p.directory.Remove(r.PathValue("id")))
+	})
+}
+
+func strictBody(r *http.Request, into any) error {
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	return dec.Decode(into)
+}
--- /dev/null
+++ b/topo/httptopo/call.go
@@ -0,0 +1,86 @@
+package httptopo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"rhubarbpoint/topo"
+)
+
+// opInstances counts reads of the instance list.
+const opInstances topo.Op = "instances"
+
+// call is one request to the platform.
+type call struct {
+	op      topo.Op
+	method  string
+	path    string
+	query   url.Values
+	body    []byte
+	out     any
+	timeout time.Duration // 0 means CallTimeout
+}
+
+// do sends a call. Whether it can have been executed decides the error: without a connection it cannot.
+func (c *Client) do(ctx context.Context, call *call) error {
+	c.count("topo.calls." + string(call.op))
+	timeout := call.timeout
+	if timeout == 0 {
+		timeout = CallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	err := c.send(httptrace.WithClientTrace(ctx, trace), call)
+	if err == nil {
+		return nil
+	}
+	c.count("topo.errors." + string(call.op))
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The transport closes the connection of this call. Idle ones are likely to be as silent, and each would
+		// cost another timeout.
+		c.count("topo.timeouts")
+		c.transport.CloseIdleConnections()
+	}
+	return classify(err, call.op, connected.Load())
+}
+
+func (c *Client) send(ctx context.Context, call *call) error {
+	target := c.base + call.path
+	if len(call.query) > 0 {
+		target += "?" + call.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return answerError(resp.StatusCode, data)
+	}
+	if call.out == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(data, call.out), "topo: unreadable answer")
+}
+
+func (c *Client) count(name string) { metrics.GetOrRegisterCounter(name, c.metrics).Inc(1) }
--- a/topo/httptopo/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package httptopo is the HTTP adapter to the platform's store and instance list.
-package httptopo
--- a/topo/memtopo/directory.go
+++ b/topo/memtopo/directory.go
@@ -15,6 +15,7 @@
 	mu      sync.Mutex
 	shown   []topo.Instance
 	pending []version
+	removed map[string]bool
 	down    bool
 }
 
@@ -26,12 +27,18 @@
 var _ topo.Directory = (*Directory)(nil)
 
 // NewDirectory returns an empty list with the given lag.
-func NewDirectory(lag time.Duration) *Directory { return &Directory{lag: lag} }
+func NewDirectory(lag time.Duration) *Directory {
+	return &Directory{lag: lag, removed: make(map[string]bool)}
+}
 
 // Set replaces the true list. Readers see it after the lag.
 func (d *Directory) Set(instances []topo.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.set(instances)
+}
+
+func (d *Directory) set(instances []topo.Instance) {
 	d.pending = append(d.pending, version{at: time.Now().Add(d.lag), instances: append([]topo.Instance{}, instances...)})
 }
 
--- a/topo/memtopo/lease.go
+++ b/topo/memtopo/lease.go
@@ -23,7 +23,10 @@
 		time.AfterFunc(ttl, s.expireNow)
 		return nil
 	})
-	return id, err
+	if err != nil {
+		return 0, err // a late write may still set id
+	}
+	return id, nil
 }
 
 // KeepAlive implements topo.Store.
--- a/topo/memtopo/store.go
+++ b/topo/memtopo/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -108,7 +109,10 @@
 		s.entries[key] = topo.Entry{Key: key, Value: value, Revision: revision, Created: created, Lease: id}
 		return nil
 	})
-	return revision, err
+	if err != nil {
+		return 0, err // a late write may still set revision
+	}
+	return revision, nil
 }
 
 // Delete implements topo.Store.
@@ -148,7 +152,7 @@
 		case <-timer.C:
 			return nil, last, nil
 		case <-ctx.Done():
-			return nil, after, ctx.Err()
+			return nil, after, fmt.Errorf("%w: %w", topo.ErrUnavailable, ctx.Err())
 		}
 	}
 }
@@ -172,6 +176,7 @@
 // do counts a call, injects faults and runs it under the lock.
 func (s *Store) do(ctx context.Context, op topo.Op, key string, run func() error) error {
 	fault := s.faults.Next(op, key)
+	s.count(op)
 	if fault.Delay > 0 {
 		select {
 		case <-time.After(fault.Delay):
@@ -180,40 +185,58 @@
 		}
 	}
 	if err := ctx.Err(); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if op != topo.OpNone {
-		s.calls[op]++
+		return fmt.Errorf("%w: %w", topo.ErrUnavailable, err)
 	}
 	if fault.Refuse {
 		return topo.ErrUnavailable
 	}
+	if fault.LoseAnswer && fault.Late > 0 && op.Writes() {
+		s.land(fault.Late, run)
+		return topo.ErrAmbiguous
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.expire()
 	err := run()
-	if fault.LoseAnswer {
+	switch {
+	case fault.LoseAnswer && op.Writes():
 		return topo.ErrAmbiguous
+	case fault.LoseAnswer:
+		return topo.ErrUnavailable
 	}
 	return err
 }
 
+func (s *Store) count(op topo.Op) {
+	if op == topo.OpNone {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[op]++
+}
+
 // interrupted ends a call whose sender gave up during the delay. A write may still land afterwards.
 func (s *Store) interrupted(op topo.Op, fault Fault, run func() error) error {
 	if !op.Writes() {
 		return topo.ErrUnavailable
 	}
 	if fault.Late > 0 {
-		time.AfterFunc(fault.Late, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.expire()
-			_ = run()
-		})
+		s.land(fault.Late, run)
 	}
 	return topo.ErrAmbiguous
 }
 
+// land executes a write after its sender was told that the outcome is unknown.
+func (s *Store) land(after time.Duration, run func() error) {
+	time.AfterFunc(after, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expire()
+		_ = run()
+	})
+}
+
 func (s *Store) bump() int64 {
 	s.revision++
 	close(s.changed)
