Decode the configuration and the settings strictly, with all faults at once

Fields whose zero differs from their default lost omitempty, since an encoded document would otherwise turn a written 0 into the default.

--- a/config/callers.go
+++ b/config/callers.go
@@ -10,12 +10,12 @@
 
 // Workspace is a group of callers with one key.
 type Workspace struct {
-	// Name is unique.
-	Name string `json:"name"`
-	// KeySHA256 is the SHA-256 of the bearer key, in 64 lower-case hexadecimal digits.
-	KeySHA256 string `json:"key_sha256"`
+	// Name is unique. It has up to 128 letters, digits and ._/:@- characters.
+	Name string `json:"name" required:"true" format:"label"`
+	// KeySHA256 is the SHA-256 of the bearer key, in 64 lower-case hexadecimal digits. It is unique.
+	KeySHA256 string `json:"key_sha256" required:"true" format:"sha256"`
 	// Weight is the share under overload, relative to other workspaces; 0.01 to 1,000. Default 1.
-	Weight float64 `json:"weight,omitempty"`
+	Weight float64 `json:"weight,omitempty" default:"1" min:"0.01" max:"1000"`
 	// Priority is handed to engines, higher first; 0 to 9. Default 5.
-	Priority int `json:"priority,omitempty"`
+	Priority int `json:"priority" default:"5" min:"0" max:"9"`
 }
--- a/config/orders.go
+++ b/config/orders.go
@@ -3,28 +3,28 @@
 // Orders is the section of the order team: the plain services beside the models.
 type Orders struct {
 	// Services lists the plain services. Names are unique.
-	Services []Service `json:"services"`
+	Services []Service `json:"services,omitempty"`
 }
 
 // Service is one plain HTTP service, reached by callers under /services/<name>/.
 type Service struct {
 	// Name has 1 to 63 lower-case letters, digits and hyphens.
-	Name string `json:"name"`
+	Name string `json:"name" required:"true" format:"name"`
 	// Routes say which calls exist and which of them may be repeated. The first match decides; a call that matches
-	// none is refused with 404.
-	Routes []Route `json:"routes"`
+	// none is refused with 404. At least one; each pair of method and path once.
+	Routes []Route `json:"routes" required:"true" min:"1"`
 	// Upstreams are the replicas of the service; at least one.
-	Upstreams []Upstream `json:"upstreams"`
+	Upstreams []Upstream `json:"upstreams" required:"true" min:"1"`
 	// Timeout bounds one attempt at a call; 100ms to 60s. Default 5s.
-	Timeout Duration `json:"timeout,omitempty"`
+	Timeout Duration `json:"timeout,omitempty" default:"5s" min:"100ms" max:"60s"`
 }
 
 // Route is one kind of call to a service.
 type Route struct {
 	// Method is an HTTP method in capitals.
-	Method string `json:"method"`
+	Method string `json:"method" required:"true" format:"method"`
 	// Path is a path below the service, starting with "/". A path that ends in "/" matches all below it.
-	Path string `json:"path"`
+	Path string `json:"path" required:"true" format:"path"`
 	// Idempotent calls may be repeated. All others run at most once and need an Idempotency-Key.
 	Idempotent bool `json:"idempotent,omitempty"`
 }
@@ -32,10 +32,11 @@
 // Upstream is one replica of a plain service.
 type Upstream struct {
 	// ID is unique over all upstreams and engines.
-	ID string `json:"id"`
-	// Address is IP:port.
-	Address string `json:"address"`
-	// Region and Zone name entries of the network section.
-	Region string `json:"region"`
-	Zone   string `json:"zone"`
+	ID string `json:"id" required:"true" format:"label"`
+	// Address is IP:port, unique over all upstreams and engines.
+	Address string `json:"address" required:"true" format:"addrport"`
+	// Region names a region of the network section.
+	Region string `json:"region" required:"true" format:"name"`
+	// Zone names a zone of that region.
+	Zone string `json:"zone" required:"true" format:"name"`
 }
--- /dev/null
+++ b/internal/strict/fields.go
@@ -0,0 +1,38 @@
+package strict
+
+import (
+	"reflect"
+	"strings"
+	"sync"
+)
+
+// field is one field of a struct that takes part in decoding.
+type field struct {
+	index int
+	rules rules
+}
+
+// fields are those of one struct type, with their names in order of declaration.
+type fields struct {
+	names  []string
+	byName map[string]field
+}
+
+var fieldCache sync.Map // reflect.Type to *fields
+
+func fieldsOf(t reflect.Type) *fields {
+	if cached, ok := fieldCache.Load(t); ok {
+		return cached.(*fields)
+	}
+	all := &fields{byName: make(map[string]field)}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		all.names = append(all.names, name)
+		all.byName[name] = field{index: i, rules: parseRules(t.Field(i))}
+	}
+	fieldCache.Store(t, all)
+	return all
+}
--- /dev/null
+++ b/settings/invalid_error.go
@@ -0,0 +1,25 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"rhubarbpoint/internal/strict"
+)
+
+// InvalidError lists every fault of a settings file.
+type InvalidError struct {
+	Faults []strict.Fault
+}
+
+// Error implements error, with one line for each fault.
+func (e *InvalidError) Error() string {
+	lines := []string{fmt.Sprintf("%v, %d faults", ErrInvalid, len(e.Faults))}
+	for _, f := range e.Faults {
+		lines = append(lines, "  "+f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Is makes errors.Is find ErrInvalid.
+func (e *InvalidError) Is(target error) bool { return target == ErrInvalid }
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,32 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/settings"
+)
+
+const valid = `{"instance":"i1","region":"west","zone":"a","caller_listen":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
+"operator_listen":"127.0.0.1:3","platform":"127.0.0.1:4"}`
+
+// Guards against settings of an instance that cannot run, and against a report of only one of several faults.
+func TestParseReportsAllFaults(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := settings.Parse([]byte(valid))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.DrainDelay.String()).To(gomega.Equal("5s"))
+	s, err = settings.Parse([]byte(strings.NewReplacer(`"zone":"a",`, ``, `.1:2`, `.1:1`, `.1:3`, `.1:0`, `"platform":"127.0.0.1:4"`,
+		`"drain":"1s","peers":["x"]`).Replace(valid)))
+	g.Expect(s).To(gomega.BeNil())
+	g.Expect(err).To(gomega.MatchError(settings.ErrInvalid))
+	var paths []string
+	for _, f := range err.(*settings.InvalidError).Faults {
+		paths = append(paths, f.Path)
+	}
+	g.Expect(paths).To(gomega.Equal([]string{"operator_listen", "drain", "peers[0]", "zone", "peer_listen", "platform"}))
+	_, err = settings.Load("testdata/absent.json")
+	g.Expect(err).To(gomega.MatchError(settings.ErrInvalid))
+}
