--- a/topo/memtopo/lease.go
+++ b/topo/memtopo/lease.go
@@ -24,7 +24,7 @@
 		return nil
 	})
 	if err != nil {
-		return 0, err // a late call may still set id
+		return 0, err // a late write may still set id
 	}
 	return id, nil
 }
