--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 )
@@ -12,6 +14,9 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&engineCommand{}, "")
+	subcommands.Register(&ordersCommand{}, "")
 	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(int(subcommands.Execute(ctx)))
 }
--- a/engine/frame.go
+++ b/engine/frame.go
@@ -15,4 +15,7 @@
 	FinishReason string `json:"finish_reason,omitempty"`
 	PromptTokens int    `json:"prompt_tokens,omitempty"`
 	CachedTokens int    `json:"cached_tokens,omitempty"`
+	// Epoch is the engine's start epoch; it comes with the first frame of a stream, so that a crash can be told from a
+	// broken connection.
+	Epoch string `json:"epoch,omitempty"`
 }
--- a/engine/httpengine/calls.go
+++ b/engine/httpengine/calls.go
@@ -15,7 +15,9 @@
 )
 
 const (
-	callTimeout  = 3 * time.Second
+	callTimeout = 3 * time.Second
+	// slowTimeout bounds an order, which can take the engine out of service for up to 10 minutes, and a transfer.
+	slowTimeout  = 11 * time.Minute
 	maxBodyBytes = 4 << 20
 )
 
@@ -54,7 +56,7 @@
 // Order implements engine.Client.
 func (c *Client) Order(ctx context.Context, addr string, order *engine.Order) (*engine.OrderResult, error) {
 	var result engine.OrderResult
-	err := c.call(ctx, http.MethodPost, addr, "/v1/orders", order, &result)
+	err := c.slowCall(ctx, addr, "/v1/orders", order, &result)
 	return &result, err
 }
 
@@ -64,19 +66,31 @@
 		RequestID string `json:"request_id"`
 	}{requestID}
 	var handle engine.KVHandle
-	err := c.call(ctx, http.MethodPost, addr, "/v1/kv/export", body, &handle)
+	err := c.slowCall(ctx, addr, "/v1/kv/export", body, &handle)
 	return &handle, err
 }
 
 // ImportKV implements engine.Client.
 func (c *Client) ImportKV(ctx context.Context, addr string, handle *engine.KVHandle) error {
-	return c.call(ctx, http.MethodPost, addr, "/v1/kv/import", handle, nil)
+	return c.slowCall(ctx, addr, "/v1/kv/import", handle, nil)
 }
 
-// call sends one JSON request and decodes the answer into out, if out is not nil.
+// call sends a short request.
 func (c *Client) call(ctx context.Context, method, addr, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	return exchange(ctx, c.calls, method, addr, path, in, out)
+}
+
+// slowCall sends a request that the engine answers only when a change or transfer is finished.
+func (c *Client) slowCall(ctx context.Context, addr, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, slowTimeout)
+	defer cancel()
+	return exchange(ctx, c.slow, http.MethodPost, addr, path, in, out)
+}
+
+// exchange sends one JSON request and decodes the answer into out, if out is not nil.
+func exchange(ctx context.Context, over http.RoundTripper, method, addr, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return errors.Mark(err, engine.ErrNotSent)
@@ -85,7 +99,7 @@
 	if err != nil {
 		return errors.Mark(err, engine.ErrNotSent)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := over.RoundTrip(req)
 	if err != nil {
 		return sendError(err)
 	}
@@ -93,10 +107,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp.StatusCode)
 	}
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	if err != nil {
+		return errors.Mark(err, engine.ErrBroken)
+	}
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(out); err != nil {
+	if err := json.Unmarshal(answer, out); err != nil {
 		return errors.Mark(err, engine.ErrCorrupt)
 	}
 	return nil
--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -15,26 +15,44 @@
 )
 
 const (
-	dialTimeout   = 1 * time.Second
-	headerTimeout = 3 * time.Second
+	dialTimeout = 1 * time.Second
+	// headerTimeout equals the idle timeout of streams: an engine answers the headers at once.
+	headerTimeout = frameIdleTimeout
 	// idleConnTimeout is short, because an idle connection can go silent without notice.
 	idleConnTimeout = 5 * time.Second
 )
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client talks to engines over HTTP. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	// streams opens a connection for each request, so that no request meets an idle connection that went silent.
+	streams http.RoundTripper
+	// calls reuses connections for short calls.
+	calls http.RoundTripper
+	// slow serves orders and transfers of KV cache, whose answer comes when they are finished.
+	slow http.RoundTripper
 }
 
 // New returns a client.
-func New() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:           dialer.DialContext,
-		ResponseHeaderTimeout: headerTimeout,
-		IdleConnTimeout:       idleConnTimeout,
-		MaxIdleConnsPerHost:   16,
-	}}}
+func New() *Client { return NewWithDial((&net.Dialer{Timeout: dialTimeout}).DialContext) }
+
+// NewWithDial returns a client that opens its connections with dial.
+func NewWithDial(dial DialFunc) *Client {
+	bounded := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, addr)
+	}
+	return &Client{
+		streams: &http.Transport{DialContext: bounded, ResponseHeaderTimeout: headerTimeout, DisableKeepAlives: true},
+		calls: &http.Transport{
+			DialContext: bounded, ResponseHeaderTimeout: headerTimeout, IdleConnTimeout: idleConnTimeout,
+			MaxIdleConnsPerHost: 4,
+		},
+		slow: &http.Transport{DialContext: bounded, DisableKeepAlives: true},
+	}
 }
 
 // Generate implements engine.Client.
@@ -49,7 +67,7 @@
 		cancel()
 		return nil, errors.Mark(err, engine.ErrNotSent)
 	}
-	resp, err := c.http.Do(hreq)
+	resp, err := c.streams.RoundTrip(hreq)
 	if err != nil {
 		cancel()
 		return nil, sendError(err)
--- a/engine/httpengine/frame_stream.go
+++ b/engine/httpengine/frame_stream.go
@@ -3,8 +3,8 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,8 +14,9 @@
 
 const (
 	maxFrameBytes = 64 << 10
-	// frameIdleTimeout is three times the engines' keepalive interval of one second.
-	frameIdleTimeout = 3 * time.Second
+	// frameIdleTimeout bears one missing keepalive frame of the engines, which send one each second. It leaves half a
+	// second to start on another engine within the 3 s that a silent connection may take.
+	frameIdleTimeout = 2500 * time.Millisecond
 )
 
 // frameStream reads one JSON frame a line.
@@ -23,45 +24,45 @@
 	body   io.ReadCloser
 	lines  *bufio.Scanner
 	cancel context.CancelFunc
-	timer  *time.Timer
+	silent atomic.Bool
 }
 
 func newFrameStream(body io.ReadCloser, cancel context.CancelFunc) *frameStream {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 4096), maxFrameBytes)
-	return &frameStream{body: body, lines: lines, cancel: cancel, timer: time.AfterFunc(frameIdleTimeout, cancel)}
+	s := &frameStream{body: body, lines: bufio.NewScanner(body), cancel: cancel}
+	s.lines.Buffer(make([]byte, 4096), maxFrameBytes)
+	s.lines.Split(scanFrames)
+	return s
 }
 
-// Recv implements engine.Stream.
+// Recv implements engine.Stream. Only the time within Recv counts towards the idle timeout: a slow caller is no fault
+// of the engine.
 func (s *frameStream) Recv() (*engine.Frame, error) {
-	s.timer.Reset(frameIdleTimeout)
-	started := time.Now()
+	timer := time.AfterFunc(frameIdleTimeout, func() {
+		s.silent.Store(true)
+		s.cancel()
+	})
+	defer timer.Stop()
 	if !s.lines.Scan() {
-		return nil, s.scanError(time.Since(started))
+		return nil, s.scanError()
 	}
-	var f engine.Frame
-	if err := json.Unmarshal(s.lines.Bytes(), &f); err != nil {
-		return nil, errors.Mark(err, engine.ErrCorrupt)
-	}
-	return &f, nil
+	return decodeFrame(s.lines.Bytes())
 }
 
-func (s *frameStream) scanError(waited time.Duration) error {
+func (s *frameStream) scanError() error {
 	err := s.lines.Err()
 	switch {
+	case s.silent.Load():
+		return engine.ErrSilent
 	case err == nil:
 		return io.EOF
-	case errors.Is(err, bufio.ErrTooLong):
+	case errors.Is(err, bufio.ErrTooLong), errors.Is(err, errCutFrame):
 		return errors.Mark(err, engine.ErrCorrupt)
-	case waited >= frameIdleTimeout:
-		return errors.Mark(err, engine.ErrSilent)
 	}
 	return errors.Mark(err, engine.ErrBroken)
 }
 
-// Close implements engine.Stream.
+// Close implements engine.Stream. It closes the connection.
 func (s *frameStream) Close() error {
-	s.timer.Stop()
 	s.cancel()
 	return s.body.Close()
 }
--- a/engine/request.go
+++ b/engine/request.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Message is one chat message.
 type Message struct {
@@ -25,4 +28,6 @@
 	KV *KVHandle `json:"kv,omitempty"`
 	// PrefillOnly asks for the prompt to be processed and kept for export, without generating.
 	PrefillOnly bool `json:"prefill_only,omitempty"`
+	// Params are the caller's sampling parameters, such as temperature, as it sent them.
+	Params map[string]json.RawMessage `json:"params,omitempty"`
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -57,7 +57,7 @@
 	}
 	defer answer.Close()
 	w.Header().Set("Content-Type", "text/event-stream")
-	whole := stream.NewAssembler(req.RequestID, req.Version)
+	whole := stream.NewAssembler(req.RequestID, req.Version, req.MaxTokens)
 	whole.Begin(req.Attempt)
 	for !whole.Done() {
 		frame, err := answer.Recv()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,54 +1,125 @@
 // Package engine is a small stand-in for an LLM engine. Its answers are a function of model, version and messages, so
-// that tests can tell whether an answer is whole and belongs to its request.
+// that tests can tell whether an answer is whole and belongs to its request. It batches continuously, caches prompt
+// prefixes, obeys orders and can be told to misbehave.
 package engine
 
 import (
-	"encoding/json"
+	"context"
+	"net"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"rhubarbpoint/engine"
 )
 
-// Options set the speed of the stand-in.
-type Options struct {
-	ID   string
-	Step time.Duration // time between two tokens
-}
-
-// Engine serves the stand-in's HTTP interface.
+// Engine serves the stand-in's HTTP interface. It is safe for concurrent use.
 type Engine struct {
-	opts Options
+	opts  Options
+	epoch string
+
+	mu       sync.Mutex
+	batch    batch
+	cache    *prefixCache
+	reports  reportLog
+	kv       kvStore
+	orders   orderState
+	faults   Faults
+	draining bool
+	// lastConn numbers connections; those up to silentConn carry no more data.
+	lastConn, silentConn int64
 }
 
-// New returns a stand-in engine.
-func New(opts Options) *Engine { return &Engine{opts: opts} }
+// New returns a stand-in engine. Its start epoch differs from that of every other.
+func New(opts Options) *Engine {
+	opts = opts.withDefaults()
+	e := &Engine{
+		opts: opts, epoch: uuid.NewString(),
+		cache:  newPrefixCache(opts.CacheBlocks, opts.CacheEventDelay, opts.CacheEventLoss),
+		kv:     newKVStore(),
+		orders: orderState{role: opts.Role, models: append([]engine.LoadedModel(nil), opts.Models...)},
+	}
+	e.publish()
+	return e
+}
 
 // Handler returns the HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/generate", e.generate)
-	return mux
+	mux.HandleFunc("POST /v1/cancel", e.cancel)
+	mux.HandleFunc("GET /v1/load", e.load)
+	mux.HandleFunc("GET /v1/cache-events", e.cacheEvents)
+	mux.HandleFunc("GET /v1/state", e.state)
+	mux.HandleFunc("POST /v1/orders", e.order)
+	mux.HandleFunc("POST /v1/kv/export", e.exportKV)
+	mux.HandleFunc("POST /v1/kv/import", e.importKV)
+	mux.HandleFunc("POST /admin/faults", e.setFaults)
+	mux.HandleFunc("POST /admin/silence", e.silenceOpen)
+	mux.HandleFunc("POST /admin/drain", func(http.ResponseWriter, *http.Request) { e.Drain() })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.isSilent(connOf(r)) {
+			<-r.Context().Done()
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
-	var req engine.Request
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+// Server returns an HTTP server that numbers its connections, as the silence fault needs.
+func (e *Engine) Server() *http.Server {
+	return &http.Server{
+		Handler: e.Handler(),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.lastConn++
+			return context.WithValue(ctx, connKey{}, e.lastConn)
+		},
 	}
-	out := json.NewEncoder(w)
-	answer := Answer(&req)
-	for i := len(req.Delivered); i < len(answer); i++ {
-		time.Sleep(e.opts.Step)
-		frame := engine.Frame{RequestID: req.RequestID, Attempt: req.Attempt, Version: req.Version, Index: i, Token: answer[i]}
-		if out.Encode(&frame) != nil {
-			return
+}
+
+// Drain refuses new work from now on. Accepted requests go on.
+func (e *Engine) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+	e.publish()
+}
+
+// Stop drains the engine and closes the server once the last request has been answered.
+func (e *Engine) Stop(ctx context.Context, server *http.Server) error {
+	e.Drain()
+	for e.busy() {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(stopPoll):
 		}
-		http.NewResponseController(w).Flush()
 	}
-	out.Encode(&engine.Frame{
-		RequestID: req.RequestID, Attempt: req.Attempt, Version: req.Version,
-		End: true, Total: len(answer), FinishReason: "stop",
-	})
+	return server.Shutdown(ctx)
+}
+
+// stopPoll is short against the drain time of an engine.
+const stopPoll = 50 * time.Millisecond
+
+func (e *Engine) busy() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.batch.size() > 0
+}
+
+type connKey struct{}
+
+func connOf(r *http.Request) int64 {
+	conn, _ := r.Context().Value(connKey{}).(int64)
+	return conn
+}
+
+func (e *Engine) isSilent(conn int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return conn > 0 && conn <= e.silentConn
 }
