--- /dev/null
+++ b/authority/dump.go
@@ -0,0 +1,57 @@
+package authority
+
+import (
+	"slices"
+	"time"
+)
+
+// HolderDump is the state of a Holder for operators.
+type HolderDump struct {
+	Region  string `json:"region"`
+	Holding bool   `json:"holding"`
+	Fence   int64  `json:"fence,omitempty"`
+	// ValidMillis is the time left until the term ends without another keep-alive.
+	ValidMillis int64 `json:"valid_ms,omitempty"`
+	// Working lists the engines with an order or a reconciliation in work.
+	Working []string `json:"working,omitempty"`
+}
+
+// Dump returns the state at this moment.
+func (h *Holder) Dump() HolderDump {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d := HolderDump{Region: h.opts.Region}
+	for id := range h.working {
+		d.Working = append(d.Working, id)
+	}
+	slices.Sort(d.Working)
+	if h.term != nil && h.term.valid() {
+		d.Holding, d.Fence = true, h.term.fence
+		d.ValidMillis = time.Until(h.term.until()).Milliseconds()
+	}
+	return d
+}
+
+// GateDump is the state of a Gate for operators.
+type GateDump struct {
+	// Engines are those that a holder has registered here; this instance need not be their gate any more.
+	Engines  []string `json:"engines,omitempty"`
+	InFlight []string `json:"in_flight,omitempty"`
+	Stopping bool     `json:"stopping,omitempty"`
+}
+
+// Dump returns the state at this moment.
+func (g *Gate) Dump() GateDump {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := GateDump{Stopping: g.stopping}
+	for id, e := range g.engines {
+		d.Engines = append(d.Engines, id)
+		if len(e.turn) > 0 {
+			d.InFlight = append(d.InFlight, id)
+		}
+	}
+	slices.Sort(d.Engines)
+	slices.Sort(d.InFlight)
+	return d
+}
