Add the operator listener and the operators' verbs

The listener shows health, readiness, metrics (Prometheus text format), state by part and the configuration with edits and rollout (docs/operator-api.md); operator/client is the library behind the verbs.

edit writes a section with its base version into a working file; diff, validate and apply take that file. Opening a text editor from the verb was ruled out, because a process of the system starts no other process. apply makes the edit ID and repeats the request with it, so that a lost answer is resolved without a second application; what stays unknown names -edit and -since. A whole document is taken only while the store holds none.

--- /dev/null
+++ b/operator/client/apply.go
@@ -0,0 +1,88 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"rhubarbpoint/operator"
+)
+
+const (
+	applyRetry  = 500 * time.Millisecond
+	rolloutPoll = 250 * time.Millisecond
+)
+
+// ErrNotInForce means that some live member did not have the version in time.
+var ErrNotInForce = errors.New("operator: version not in force on every live instance in time")
+
+// Edit is one edit of a section. ID and Since are empty unless an earlier outcome was unknown.
+type Edit struct {
+	Section string
+	Base    int64
+	Content []byte
+	ID      string
+	Since   int64
+}
+
+// Apply gives an edit to the instance until it has an outcome: Accepted, or an *operator.Error. If the context ends
+// first, the error has CodeUnknown and names the edit.
+func (c *Client) Apply(ctx context.Context, e Edit) (*operator.Accepted, error) {
+	if e.ID == "" {
+		e.ID, e.Since = uuid.NewString(), e.Base
+		if now, err := c.Config(ctx, false); err == nil {
+			e.Since = max(e.Base, now.Version)
+		}
+	}
+	query := url.Values{
+		"base": {strconv.FormatInt(e.Base, 10)}, "edit": {e.ID}, "since": {strconv.FormatInt(e.Since, 10)},
+	}
+	for {
+		var answer operator.Accepted
+		err := c.call(ctx, http.MethodPut, "/v1/config/sections/"+url.PathEscape(e.Section), query, e.Content, &answer)
+		if err == nil || !retryable(err) {
+			return &answer, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &operator.Error{Code: operator.CodeUnknown, Edit: e.ID, Since: e.Since, Message: fmt.Sprintf(
+				"outcome of edit %s unknown: %v; apply the same file with -edit %s -since %d to learn it", e.ID, err, e.ID, e.Since)}
+		case <-time.After(applyRetry):
+		}
+	}
+}
+
+// retryable says whether an error leaves the outcome open.
+func retryable(err error) bool {
+	var reported *operator.Error
+	if !errors.As(err, &reported) {
+		return true
+	}
+	return reported.Code == operator.CodeUnknown || reported.Code == operator.CodeUnavailable
+}
+
+// Wait returns when a version is in force on every live member, or ErrNotInForce when the context ends first. It returns
+// the last answer that it got, which may be nil.
+func (c *Client) Wait(ctx context.Context, version int64) (*operator.Rollout, error) {
+	var last *operator.Rollout
+	for {
+		answer, err := c.Rollout(ctx, version)
+		if err == nil {
+			last = answer
+		}
+		if err == nil && answer.InForce {
+			return answer, nil
+		}
+		select {
+		case <-ctx.Done():
+			return last, ErrNotInForce
+		case <-time.After(rolloutPoll):
+		}
+	}
+}
--- /dev/null
+++ b/operator/error.go
@@ -0,0 +1,77 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/config"
+	"rhubarbpoint/config/manager"
+)
+
+// Code names a kind of error to scripts.
+type Code string
+
+// The codes of errors.
+const (
+	CodeBadRequest Code = "bad_request"
+	CodeNotFound   Code = "not_found"
+	// CodeInvalid comes with the faults.
+	CodeInvalid  Code = "invalid"
+	CodeConflict Code = "conflict"
+	CodeIDReused Code = "id_reused"
+	CodeExists   Code = "exists"
+	// CodeUnavailable means that nothing was changed.
+	CodeUnavailable Code = "unavailable"
+	// CodeUnknown comes with the ID of the edit; the same request again gives its outcome.
+	CodeUnknown Code = "unknown"
+)
+
+var statuses = map[Code]int{
+	CodeBadRequest: http.StatusBadRequest, CodeNotFound: http.StatusNotFound, CodeInvalid: http.StatusUnprocessableEntity,
+	CodeConflict: http.StatusConflict, CodeIDReused: http.StatusConflict, CodeExists: http.StatusConflict,
+	CodeUnavailable: http.StatusServiceUnavailable, CodeUnknown: http.StatusGatewayTimeout,
+}
+
+// Error is the body of an answer that reports a failure.
+type Error struct {
+	Code    Code           `json:"code"`
+	Message string         `json:"message"`
+	Faults  []config.Fault `json:"faults,omitempty"`
+	Edit    string         `json:"edit,omitempty"`
+	Since   int64          `json:"since,omitempty"`
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Message }
+
+func fail(w http.ResponseWriter, e *Error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(statuses[e.Code])
+	json.NewEncoder(w).Encode(e)
+}
+
+// translate turns an error of the layers below into one for operators.
+func translate(err error) *Error {
+	e := &Error{Code: CodeBadRequest, Message: err.Error()}
+	var invalid *config.InvalidError
+	var unknown *manager.UnknownError
+	switch {
+	case errors.As(err, &invalid):
+		e.Code, e.Faults = CodeInvalid, invalid.Faults
+	case errors.As(err, &unknown):
+		e.Code, e.Edit, e.Since = CodeUnknown, unknown.ID, unknown.Since
+	case errors.Is(err, manager.ErrConflict):
+		e.Code = CodeConflict
+	case errors.Is(err, manager.ErrIDReused):
+		e.Code = CodeIDReused
+	case errors.Is(err, manager.ErrExists):
+		e.Code = CodeExists
+	case errors.Is(err, manager.ErrUnavailable):
+		e.Code = CodeUnavailable
+	case errors.Is(err, config.ErrUnknownSection):
+		e.Code = CodeNotFound
+	}
+	return e
+}
