Count configuration edits, keep earlier versions compressed

Sixteen decoded documents of full size would take a large part of the 64 MB per node; the compressed values take 58 KB each. The stand-in reads the body before it hangs, since an unread one hides that the client is gone.

--- a/config/manager/edit.go
+++ b/config/manager/edit.go
@@ -56,10 +56,13 @@
 	attrs := []slog.Attr{slog.String("edit", result.ID), slog.String("section", e.Section)}
 	switch {
 	case err == nil:
+		m.count("config.edits.accepted")
 		eventEditAccepted.Log(ctx, m.opts.Logger, append(attrs, slog.Int64("version", version))...)
 	case errors.Is(err, ErrUnknown):
+		m.count("config.edits.unknown")
 		eventEditUnknown.Log(ctx, m.opts.Logger, append(attrs, slog.String("error", err.Error()))...)
 	default:
+		m.count("config.edits.refused")
 		eventEditRefused.Log(ctx, m.opts.Logger, append(attrs, slog.String("error", err.Error()))...)
 	}
 	return result, err
--- a/config/manager/manager.go
+++ b/config/manager/manager.go
@@ -10,9 +10,12 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"rhubarbpoint/config"
 	"rhubarbpoint/topo"
 )
@@ -20,7 +23,7 @@
 // Key is the key of the document in the store.
 const Key = "config/current"
 
-// keptVersions is how many versions an instance keeps for differences.
+// keptVersions is how many versions an instance keeps for differences: at 58 KB each, about 1 MB of the 64 MB per node.
 const keptVersions = 16
 
 // Options are what a manager depends on.
@@ -33,6 +36,9 @@
 	// has none or cannot be read. Nil means that there are no peers.
 	Peers  func(ctx context.Context) ([]byte, error)
 	Logger *slog.Logger
+	// Metrics gets the gauge config.version and the counters config.edits.accepted, config.edits.refused,
+	// config.edits.unknown and config.documents.refused. It may be nil.
+	Metrics metrics.Registry
 }
 
 // Manager keeps the document in force. It is safe for concurrent use.
@@ -40,8 +46,8 @@
 	opts Options
 
 	mu      sync.Mutex
-	current *state   // nil before the first document
-	kept    []*state // versions before the current one, oldest first
+	current *state // nil before the first document
+	kept    []kept // versions before the current one, oldest first
 	// seen is the highest revision of the key that this instance has taken note of.
 	seen     int64
 	from     string
@@ -57,7 +63,12 @@
 }
 
 // New returns a manager without a document.
-func New(opts Options) *Manager { return &Manager{opts: opts, notified: -1} }
+func New(opts Options) *Manager {
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewRegistry()
+	}
+	return &Manager{opts: opts, notified: -1}
+}
 
 // Ready says whether this instance has a document.
 func (m *Manager) Ready() bool { return m.Current() != nil }
@@ -90,13 +101,15 @@
 	return m.current.source
 }
 
-// Kept returns the document of a version that was in force on this instance recently, or nil.
+// Kept returns the document of one of the last 16 versions that were in force on this instance before the current one,
+// or nil.
 func (m *Manager) Kept(version int64) *config.Document {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, s := range m.kept {
-		if s.doc.Version == version {
-			return s.doc
+	all := slices.Clone(m.kept)
+	m.mu.Unlock()
+	for _, k := range all {
+		if k.version == version {
+			return k.document()
 		}
 	}
 	return nil
@@ -105,11 +118,12 @@
 // Previous returns the document that was in force on this instance before the current one, or nil.
 func (m *Manager) Previous() *config.Document {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.kept) == 0 {
+	all := slices.Clone(m.kept)
+	m.mu.Unlock()
+	if len(all) == 0 {
 		return nil
 	}
-	return m.kept[len(m.kept)-1].doc
+	return all[len(all)-1].document()
 }
 
 // Encoded returns the version in force and its document for Offer at another instance; 0 and nil before the first one.
@@ -179,7 +193,7 @@
 		return
 	}
 	if m.current != nil {
-		m.kept = append(m.kept, m.current)
+		m.kept = append(m.kept, kept{version: m.current.doc.Version, value: m.current.value})
 		m.kept = m.kept[max(0, len(m.kept)-keptVersions):]
 	}
 	m.current, m.from, m.at = s, from, time.Now()
@@ -195,6 +209,7 @@
 		return
 	}
 	m.notified = doc.Version
+	metrics.GetOrRegisterGauge("config.version", m.opts.Metrics).Update(doc.Version)
 	for _, f := range m.callbacks {
 		f(doc)
 	}
@@ -204,9 +219,12 @@
 	m.mu.Lock()
 	m.refusals++
 	m.mu.Unlock()
+	m.count("config.documents.refused")
 	eventRefused.Log(context.Background(), m.opts.Logger, slog.String("from", from), slog.String("error", err.Error()))
 }
 
+func (m *Manager) count(name string) { metrics.GetOrRegisterCounter(name, m.opts.Metrics).Inc(1) }
+
 // jitter returns a time from 0.8 to 1.2 of d, so that a fleet does not call in step.
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
--- a/config/manager/state.go
+++ b/config/manager/state.go
@@ -43,3 +43,18 @@
 	}
 	return newState(data[revisionBytes:], int64(binary.BigEndian.Uint64(data)))
 }
+
+// kept is an earlier version, as the store held it.
+type kept struct {
+	version int64
+	value   []byte
+}
+
+// document decodes the version, which was valid when it was in force.
+func (k kept) document() *config.Document {
+	s, err := newState(k.value, 0)
+	if err != nil {
+		return nil
+	}
+	return s.doc
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -89,6 +89,7 @@
 			return
 		}
 		if p.faults.hangs() {
+			io.Copy(io.Discard, r.Body) // an unread body would hide that the client is gone
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
--- a/topo/httptopo/client_test.go
+++ b/topo/httptopo/client_test.go
@@ -149,6 +149,20 @@
 	g.Expect(s.calls("topo.timeouts")).To(gomega.BeEquivalentTo(1))
 }
 
+// Guards against a write that is reported as not executed although the platform took it and did not answer, and against an
+// outage that does not end by itself.
+func TestHangingPlatform(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSite(t, platform.Options{})
+	s.admin(t, http.MethodPut, "/admin/faults", `{"outage":"hang"}`)
+	started := time.Now()
+	_, err := s.client.Put(t.Context(), "k", []byte("v"), 0, 0)
+	g.Expect(err).To(gomega.MatchError(topo.ErrAmbiguous))
+	g.Expect(time.Since(started)).To(gomega.BeNumerically(">=", httptopo.CallTimeout))
+	s.admin(t, http.MethodPut, "/admin/faults", `{"outage":"refuse","for":"1ms"}`)
+	g.Eventually(func() error { _, err := s.client.List(t.Context(), ""); return err }, 10*time.Second).Should(gomega.Succeed())
+}
+
 // Guards against a stand-in without limits, which would hide a system that exceeds its store budget.
 func TestLimits(t *testing.T) {
 	g := gomega.NewWithT(t)
