Add peer transport over yamux sessions

A call reports ErrNotSent only when its frame certainly cannot reach the peer's handler; everything else after the first byte is ErrNoAnswer. Requests name the called instance, because a restarted process listens on the address of its predecessor.

--- /dev/null
+++ b/peer/errors.go
@@ -0,0 +1,29 @@
+package peer
+
+import "github.com/cockroachdb/errors"
+
+// Errors of frames, to be tested with errors.Is.
+var (
+	// ErrTooLarge means that a message is longer than MaxFrameBytes.
+	ErrTooLarge = errors.New("peer: frame too large")
+	// ErrCorrupt means that a frame could not be decoded.
+	ErrCorrupt = errors.New("peer: corrupt frame")
+	// ErrTruncated means that the stream ended within a frame.
+	ErrTruncated = errors.New("peer: truncated frame")
+	// ErrClosed means that the transport was shut down.
+	ErrClosed = errors.New("peer: transport closed")
+)
+
+// Codes of remote errors. The transport itself answers with the codes that begin with "peer_"; a call that was answered
+// with one of them was not executed. A handler's error without a code comes as CodeInternal.
+const (
+	CodeInternal       = "internal"
+	CodeAnswerTooLarge = "answer_too_large"
+	CodeBadFrame       = "peer_bad_frame"
+	CodeFrameTooLarge  = "peer_frame_too_large"
+	CodeWrongInstance  = "peer_wrong_instance"
+	CodeOverloaded     = "peer_overloaded"
+	CodeUnknownCall    = "peer_unknown_call"
+)
+
+const transportCodePrefix = "peer_"
--- /dev/null
+++ b/peer/frame_fuzz_test.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
+	"google.golang.org/protobuf/proto"
+
+	"rhubarbpoint/peer/peerpb"
+)
+
+// Guards against frames that crash the decoder, are read beyond their end, or fail with an error that says nothing.
+func FuzzReadFrame(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(data), readBufferBytes)
+		budget := semaphore.NewWeighted(largeFrameBudget)
+		var req peerpb.Request
+		err := readFrame(context.Background(), r, budget, &req)
+		if !budget.TryAcquire(largeFrameBudget) {
+			t.Fatal("the size of the frame was not given back")
+		}
+		budget.Release(largeFrameBudget)
+		if err != nil {
+			known := errors.Is(err, io.EOF) || errors.Is(err, ErrTruncated) ||
+				errors.Is(err, ErrTooLarge) || errors.Is(err, ErrCorrupt)
+			if !known {
+				t.Fatalf("error without a class: %v", err)
+			}
+			return
+		}
+		frame, err := encodeFrame(&req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again peerpb.Request
+		if err := readFrame(context.Background(), bufio.NewReader(bytes.NewReader(frame)), budget, &again); err != nil {
+			t.Fatal(err)
+		}
+		if !proto.Equal(&req, &again) {
+			t.Fatal("decoding and encoding changed the message")
+		}
+	})
+}
--- /dev/null
+++ b/peer/options.go
@@ -0,0 +1,62 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Limits and times of the transport.
+const (
+	// keepAliveInterval and pingTimeout add up to less than the 5 s within which a silent session must be replaced.
+	keepAliveInterval = 2 * time.Second
+	pingTimeout       = 2 * time.Second
+	dialTimeout       = 2 * time.Second
+	// defaultCallTimeout holds for calls whose context has no deadline.
+	defaultCallTimeout = 5 * time.Second
+	// frameTimeout bounds the reading of a request and the writing of an answer.
+	frameTimeout       = 5 * time.Second
+	streamCloseTimeout = 10 * time.Second
+	// idleTimeout is how long an unused session is kept. Each session costs about 50 bytes/s of keepalive.
+	idleTimeout     = 30 * time.Second
+	janitorInterval = 5 * time.Second
+
+	maxSessions          = 1024
+	maxStreamsPerSession = 128
+	maxInboundCalls      = 1024
+	// largeFrameBudget bounds the memory of frames that do not fit into a read buffer, well below the 64 MB that the
+	// whole process may use.
+	largeFrameBudget = 8 << 20
+	streamWindow     = 256 << 10
+)
+
+// Options configure a Transport.
+type Options struct {
+	// Self is the ID of this process.
+	Self string
+	// Address returns the peer address of an instance.
+	Address func(instance string) (string, bool)
+	// Dial opens a connection. The default is TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Logger and Metrics may be nil.
+	Logger  *slog.Logger
+	Metrics metrics.Registry
+}
+
+func (o Options) withDefaults() Options {
+	if o.Address == nil {
+		o.Address = func(string) (string, bool) { return "", false }
+	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	return o
+}
