Test authority: paused holders and gates, fuzzing with traps at calls

The successor's fencing number now goes to a checking engine directly: through the gate it could not arrive while the gate was paused with an old order, which is the case that the number is for. The fake engine no longer shortens a pause (trace: a second pause of 3 ms let an order wait 15 s in an engine that was answering).

--- a/authority/engine_test.go
+++ b/authority/engine_test.go
@@ -89,10 +89,13 @@
 	e.fence, e.changing, e.last = 0, "", ""
 }
 
+// pause does not shorten a pause: a call that waits for its end would otherwise arrive after the engine has resumed.
 func (e *fakeEngine) pause(d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.resumes = time.Now().Add(d)
+	if resumes := time.Now().Add(d); resumes.After(e.resumes) {
+		e.resumes = resumes
+	}
 }
 
 func (e *fakeEngine) ran() []string {
@@ -125,7 +128,9 @@
 
 func (c procEngines) Order(ctx context.Context, addr string, o *engine.Order) (*engine.OrderResult, error) {
 	w, e := c.proc.world, c.proc.world.engines[addr]
-	w.hook("order", c.proc, o.ID)
+	if o.Kind != engine.OrderFence {
+		w.hook("order", c.proc, o.ID)
+	}
 	if !c.proc.step() {
 		return nil, engine.ErrBroken
 	}
--- a/authority/fuzz_test.go
+++ b/authority/fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,7 +44,7 @@
 			After: rapid.OneOf(span(0, 20*time.Millisecond), span(0, 4*time.Second), span(0, 20*time.Second)).Draw(t, "after"),
 			Kind: rapid.SampledFrom([]string{
 				"order", "order", "order", "order", "order", "pause", "pause", "pause holder", "kill", "leave", "spawn",
-				"engine pause", "engine crash", "outage", "recover", "recover", "cut", "join", "join",
+				"trap journal", "trap forward", "trap order", "trap order", "trap engine", "engine pause", "engine crash", "outage", "recover", "recover", "cut", "join", "join",
 			}).Draw(t, "kind"),
 			Proc: rapid.IntRange(0, 9).Draw(t, "proc"), Other: rapid.IntRange(0, 9).Draw(t, "other"),
 			Engine: rapid.SampledFrom([]string{"checking", "plain"}).Draw(t, "engine"),
@@ -57,7 +58,9 @@
 func play(s scenario) []string {
 	w := newWorld(s.Seed, s.Procs)
 	time.Sleep(6 * time.Second) // until the instance list shows the instances
+	w.mu.Lock()
 	w.bad = s.Bad
+	w.mu.Unlock()
 	for i, a := range s.Actions {
 		time.Sleep(a.After)
 		w.act(i, a)
@@ -102,6 +105,8 @@
 		w.running.Go(p.leave)
 	case "spawn":
 		w.spawn()
+	case "trap journal", "trap forward", "trap order", "trap engine":
+		w.setTrap(strings.TrimPrefix(a.Kind, "trap "), a.Lasts)
 	case "engine pause":
 		w.engines[a.Engine].pause(a.Lasts)
 	case "engine crash":
@@ -118,20 +123,46 @@
 	}
 }
 
+// setTrap pauses the process that makes the next call of a kind just before it is sent, or the engine that gets it.
+func (w *world) setTrap(kind string, lasts time.Duration) {
+	var once sync.Once
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.onCall = func(call string, p *proc, _ string) {
+		switch {
+		case call == kind:
+			once.Do(func() { p.pause(lasts) })
+		case call == "order" && kind == "engine":
+			once.Do(func() {
+				for _, e := range w.engines {
+					e.pause(lasts)
+				}
+			})
+		}
+	}
+}
+
 // leave stops an instance gracefully.
 func (p *proc) leave() {
+	p.stop()
+	time.Sleep(10 * time.Second)
+	p.kill()
+}
+
+func (p *proc) stop() error {
+	p.mu.Lock()
+	p.leaving = true
+	p.mu.Unlock()
 	p.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	p.gate.Stop(ctx)
-	time.Sleep(10 * time.Second)
-	p.kill()
+	return p.gate.Stop(ctx)
 }
 
 // heal ends all faults and brings the region to at least three instances.
 func (w *world) heal() {
 	w.mu.Lock()
-	w.outage, w.bad, w.cut = false, 0, map[[2]string]bool{}
+	w.outage, w.bad, w.cut, w.onCall = false, 0, map[[2]string]bool{}, nil
 	w.mu.Unlock()
 	for range 3 {
 		w.spawn()
--- a/authority/gate.go
+++ b/authority/gate.go
@@ -126,9 +126,8 @@
 	if err != nil {
 		return newGateError(codeUnavailable, err)
 	}
-	fenceOnly := engine.OrderKind(order.GetKind()) == engine.OrderFence
 	expected := entry.State == StateOutstanding && entry.Order.ID == order.GetOrderId() && entry.Order.Fence == order.GetFence()
-	if entry.Gate != g.opts.View.Self() || !fenceOnly && !expected {
+	if entry.Gate != g.opts.View.Self() || !expected {
 		return newGateError(codeNotOutstanding, nil)
 	}
 	authority, err := g.opts.Store.Get(ctx, authorityKey(g.opts.Region))
--- a/authority/gates.go
+++ b/authority/gates.go
@@ -19,18 +19,39 @@
 const (
 	// registerTimeout bounds a RegisterFence call; the gate answers after registerWait at the latest.
 	registerTimeout = 4 * time.Second
+	// announceTimeout bounds the sending of a fencing number to an engine.
+	announceTimeout = 3 * time.Second
 	// forwardTimeout bounds a ForwardOrder call; the gate answers after its waits and orderTimeout.
 	forwardTimeout = orderTimeout + 10*time.Second
 )
 
 var errHandedOver = errors.New("authority: the gate hands over")
 
-// ensureGate returns the entry with a gate that has registered the term's number, and sends the number to an engine
-// that checks it. It replaces the gate when it is this process, has handed over or is gone. The entry must not be open.
+// announce sends the term's number to an engine that checks it, directly and not through the gate, which may be paused
+// with an order of the previous term. The number changes nothing else, so a late one does no harm.
+func (h *Holder) announce(ctx context.Context, t *term, e config.Engine) error {
+	if !e.ChecksFence || t.isAnnounced(e.ID) {
+		return nil
+	}
+	call, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	fence := &engine.Order{ID: uuid.NewString(), Fence: t.fence, Kind: engine.OrderFence}
+	if _, err := h.opts.Engines.Order(call, e.Address, fence); err != nil {
+		return errors.Wrap(err, "authority: send fencing number")
+	}
+	t.setAnnounced(e.ID)
+	return nil
+}
+
+// ensureGate returns the entry with a gate that has registered the term's number, which an engine that checks it must
+// know, too. It replaces the gate when it is this process, has handed over or is gone. The entry must not be open.
 func (h *Holder) ensureGate(ctx context.Context, t *term, e config.Engine, entry journalEntry) (journalEntry, error) {
 	if t.isRegistered(e.ID, entry.Gate) {
 		return entry, nil
 	}
+	if err := h.announce(ctx, t, e); err != nil {
+		return entry, h.suspend(ctx, e.ID, err)
+	}
 	err := h.register(ctx, t, e.ID, entry.Gate)
 	if err != nil && !errors.Is(err, errHandedOver) {
 		return entry, h.suspend(ctx, e.ID, err)
@@ -43,12 +64,6 @@
 			return entry, h.suspend(ctx, e.ID, err)
 		}
 	}
-	if e.ChecksFence {
-		fence := &engine.Order{ID: uuid.NewString(), Fence: t.fence, Kind: engine.OrderFence}
-		if _, err := h.forward(ctx, e, entry.Gate, fence); err != nil {
-			return entry, h.suspend(ctx, e.ID, err)
-		}
-	}
 	t.setRegistered(e.ID, entry.Gate)
 	return entry, nil
 }
@@ -99,7 +114,7 @@
 
 // replaceGate names another gate in the journal.
 func (h *Holder) replaceGate(ctx context.Context, t *term, entry journalEntry) (journalEntry, error) {
-	gate, err := h.chooseGate(ctx, entry.Engine)
+	gate, err := h.chooseGate(ctx, entry.Engine, entry.Gate)
 	if err != nil {
 		return entry, err
 	}
@@ -117,9 +132,9 @@
 	return replaced, err
 }
 
-// chooseGate returns a live instance of the region other than this one, by rendezvous hash. It must be in the instance
+// chooseGate returns a live instance of the region other than this one and the old gate, by rendezvous hash. It must be in the instance
 // list, so that its later absence proves that its process has ended.
-func (h *Holder) chooseGate(ctx context.Context, engineID string) (string, error) {
+func (h *Holder) chooseGate(ctx context.Context, engineID, old string) (string, error) {
 	listed, err := h.opts.Directory.Instances(ctx)
 	if err != nil {
 		return "", errors.Wrap(err, "authority: instance list")
@@ -131,7 +146,7 @@
 	best, bestScore := "", uint64(0)
 	for _, m := range h.opts.View.Live() {
 		id := m.GetId()
-		if id == h.opts.View.Self() || m.GetRegion() != h.opts.Region || m.GetLeaving() || !staying[id] {
+		if id == h.opts.View.Self() || id == old || m.GetRegion() != h.opts.Region || m.GetLeaving() || !staying[id] {
 			continue
 		}
 		if score := xxhash.Sum64String(id + "/" + engineID); best == "" || score > bestScore {
--- a/authority/reconcile.go
+++ b/authority/reconcile.go
@@ -67,6 +67,8 @@
 	if err != nil {
 		return
 	}
+	// The number takes effect at the engine also while the gate does not answer. ensureGate insists on it.
+	_ = h.announce(ctx, t, e)
 	if entry.Open() {
 		if entry, err = h.resolve(ctx, t, e, entry); err != nil {
 			return
--- a/authority/term.go
+++ b/authority/term.go
@@ -19,13 +19,14 @@
 	mu         sync.Mutex
 	validUntil time.Time
 	registered map[string]string // engine to the gate that has this term's number
+	announced  map[string]bool   // engines that check and have this term's number
 }
 
 func newTerm(fence int64, lease topo.LeaseID, sent time.Time) *term {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &term{
 		fence: fence, lease: lease, ctx: ctx, cancel: cancel, validUntil: sent.Add(leaseTTL),
-		registered: make(map[string]string),
+		registered: make(map[string]string), announced: make(map[string]bool),
 	}
 }
 
@@ -59,3 +60,15 @@
 	defer t.mu.Unlock()
 	t.registered[engineID] = gate
 }
+
+func (t *term) isAnnounced(engineID string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.announced[engineID]
+}
+
+func (t *term) setAnnounced(engineID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.announced[engineID] = true
+}
--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -184,6 +184,7 @@
 
 	mu      sync.Mutex
 	dead    bool
+	leaving bool
 	resumes time.Time
 	checked map[int64]time.Time // fence to the last time at which the gate read it from the store
 }
@@ -194,7 +195,9 @@
 	var live []*peerpb.Member
 	for _, other := range p.world.all() {
 		if !other.isDead() {
-			live = append(live, &peerpb.Member{Id: other.id, Region: "r"})
+			other.mu.Lock()
+			live = append(live, &peerpb.Member{Id: other.id, Region: "r", Leaving: other.leaving})
+			other.mu.Unlock()
 		}
 	}
 	return live
