--- a/config/manager/manager_test.go
+++ b/config/manager/manager_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -266,3 +268,47 @@
 		g.Expect(reader.Ready()).To(gomega.BeTrue())
 	})
 }
+
+// Guards against an instance without a platform that takes an invalid file, or that pretends to accept edits, and against
+// a package that is not told of the document in force.
+func TestDocumentFromFile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := manager.New(manager.Options{})
+	var told []int64
+	m.OnChange(func(doc *config.Document) { told = append(told, doc.Version) })
+	g.Expect(m.Load([]byte(`{"callers":{"unknown":1}}`))).To(gomega.MatchError(config.ErrInvalid))
+	g.Expect(m.Ready()).To(gomega.BeFalse())
+	g.Expect(m.Load([]byte(`{"callers":{"allow_unknown":true}}`))).To(gomega.Succeed())
+	g.Expect(m.Load([]byte(`{"version":7}`))).To(gomega.Succeed())
+	g.Expect(m.Load([]byte(`{"version":6,"callers":{"allow_unknown":true}}`))).To(gomega.Succeed())
+	g.Expect(m.Current().Callers.AllowUnknown).To(gomega.BeFalse())
+	m.OnChange(func(doc *config.Document) { told = append(told, -doc.Version) })
+	g.Expect(told).To(gomega.Equal([]int64{1, 7, -7}))
+	g.Expect(m.Previous().Version).To(gomega.BeEquivalentTo(1))
+	g.Expect(m.Kept(1).Callers.AllowUnknown).To(gomega.BeTrue())
+	g.Expect(m.Kept(2)).To(gomega.BeNil())
+	_, err := edit(m, "callers", 7, `{}`)
+	g.Expect(err).To(gomega.MatchError(manager.ErrUnavailable))
+}
+
+// Guards against an edit that is retried for ever, or reported as unknown, because the store can never hold it.
+func TestTooLargeEditIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var callers config.Callers
+	random := rand.NewChaCha8([32]byte{})
+	for range 10_000 { // about 122 bytes each that do not compress
+		name, key := make([]byte, 90), make([]byte, 32)
+		random.Read(name)
+		random.Read(key)
+		callers.Workspaces = append(callers.Workspaces, config.Workspace{
+			Name: "w" + base64.RawURLEncoding.EncodeToString(name), KeySHA256: hex.EncodeToString(key), Weight: 1, Priority: 5,
+		})
+	}
+	content, err := json.Marshal(callers)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	m := manager.New(manager.Options{Store: memtopo.New(nil)})
+	_, err = edit(m, "callers", 0, string(content))
+	g.Expect(err).To(gomega.MatchError(config.ErrInvalid))
+	g.Expect(err.Error()).To(gomega.ContainSubstring("compressed"))
+	g.Expect(m.Ready()).To(gomega.BeFalse())
+}
