Add membership with records, polling and configuration fetch

Heartbeats each second go to at most six peers: neighbours at distance 1 and sqrt(n) in the ring of the zone, in both directions, one random peer of the zone and one of another zone, both kept for 10 s so that not every heartbeat dials. Signs of life are 4 bytes for each member (24 bits of the hash of its ID, 8 bits of its beat); full member records travel only as news, with an exchange of whole tables, or when a peer asks for one. Lists encoded by position in the zone's sorted members were ruled out: two instances that disagree on one member could then read none of the others.

Sequence numbers continue those seen for the key instead of using wall clocks, so that a clock that is ahead cannot silence a successor. Cache events stay on the polling instance: spreading them would cost about 18 kB/s for each instance at the size of two years.

--- /dev/null
+++ b/member/no_sink.go
@@ -0,0 +1,18 @@
+package member
+
+import (
+	"time"
+
+	"rhubarbpoint/config"
+	"rhubarbpoint/engine"
+	"rhubarbpoint/peer/peerpb"
+)
+
+// noSink is used when nobody wants to know of upstreams.
+type noSink struct{}
+
+func (noSink) SetDocument(*config.Document)                 {}
+func (noSink) UpdateLoad(time.Time, *peerpb.UpstreamLoad)   {}
+func (noSink) UpdateCache(string, *engine.CacheEvents)      {}
+func (noSink) UpdateZone(time.Time, *peerpb.ZoneSummary)    {}
+func (noSink) SetLeaving(upstream string, epochHash uint64) {}
--- /dev/null
+++ b/member/receive.go
@@ -0,0 +1,130 @@
+package member
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"rhubarbpoint/peer/peerpb"
+)
+
+// receive takes the records of a peer and returns those that must be pushed on.
+func (s *Service) receive(from string, r *peerpb.Records) *peerpb.Records {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	urgent := &peerpb.Records{}
+	for _, m := range r.GetMembers() {
+		s.receiveMember(from, m, now, urgent)
+	}
+	for _, l := range r.GetLeaving() {
+		if s.accept(from, leavingEntry(l), now) {
+			s.applyLeaving(l, from)
+			urgent.Leaving = append(urgent.Leaving, l)
+		}
+	}
+	for _, l := range r.GetLoads() {
+		s.stats.loads.Inc(1)
+		if s.accept(from, loadEntry(l), now) {
+			s.opts.Sink.UpdateLoad(now, l)
+		} else {
+			s.stats.loadsRepeated.Inc(1)
+		}
+	}
+	for _, z := range r.GetZones() {
+		if s.accept(from, zoneEntry(z), now) && (z.GetZone() != s.opts.Zone || z.GetRegion() != s.opts.Region) {
+			s.opts.Sink.UpdateZone(now, z)
+		}
+	}
+	for _, x := range r.GetSuspicions() {
+		if s.accept(from, suspicionEntry(x), now) {
+			s.opts.Suspicion(x)
+			urgent.Suspicions = append(urgent.Suspicions, x)
+		}
+	}
+	return urgent
+}
+
+// accept merges a record. A record that the peer has, whether new here or not, is not sent back to it.
+func (s *Service) accept(from string, e entry, now time.Time) bool {
+	news := s.table.merge(now, from, e)
+	if have := s.table.entries[e.key]; have.seq == e.seq && have.origin == e.origin {
+		if p := s.peers[from]; p != nil {
+			p.sent[e.key] = have.change
+		}
+	}
+	return news
+}
+
+func (s *Service) receiveMember(from string, m *peerpb.Member, now time.Time, urgent *peerpb.Records) {
+	id := m.GetId()
+	if id == "" || id == s.opts.ID {
+		return
+	}
+	p := s.presences[id]
+	if p != nil && p.dropped && m.GetBeat() <= p.beat {
+		return // an old record of a member that is gone
+	}
+	joined := p == nil || p.dropped
+	s.meet(id, m.GetBeat(), now)
+	if s.accept(from, memberEntry(m), now) {
+		s.generation++
+		if m.GetLeaving() {
+			urgent.Members = append(urgent.Members, m)
+		}
+	}
+	if joined {
+		eventJoined.Log(s.ctx, s.opts.Logger, slog.String("member", id), slog.String("zone", m.GetZone()))
+	}
+}
+
+// receiveBeats takes signs of life and returns the hashes of members without a record here.
+func (s *Service) receiveBeats(from string, beats []uint32) (want []uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, state := time.Now(), s.peers[from]
+	for _, b := range beats {
+		ids := s.byHash[b&^0xff]
+		if len(ids) != 1 || s.presences[ids[0]].dropped {
+			// Members whose hashes are equal are told apart by their records.
+			if len(want) < maxWant {
+				want = append(want, b&^0xff)
+			}
+			continue
+		}
+		p := s.presences[ids[0]]
+		beat := p.expand(uint8(b))
+		if ids[0] != s.opts.ID {
+			s.meet(ids[0], beat, now)
+		}
+		if state != nil {
+			state.beats[ids[0]] = max(state.beats[ids[0]], beat)
+		}
+	}
+	return want
+}
+
+func (s *Service) handleHeartbeat(
+	_ context.Context, from string, req *peerpb.Request,
+) (*peerpb.Response, error) {
+	r := req.GetHeartbeat()
+	s.stats.heartbeatsIn.Inc(1)
+	s.forward(s.receive(from, r), from)
+	s.compareVersion(from, "", r.GetConfigVersion())
+	answer := &peerpb.Records{Want: s.receiveBeats(from, r.GetBeats())}
+	s.mu.Lock()
+	if r.GetSync() {
+		answer = s.snapshot()
+	}
+	answer.Beats = []uint32{beatHash(s.opts.ID) | s.own.GetBeat()&0xff}
+	s.mu.Unlock()
+	answer.ConfigVersion, _ = s.opts.Encoded()
+	return &peerpb.Response{Result: &peerpb.Response_Records{Records: answer}}, nil
+}
+
+func (s *Service) handlePush(_ context.Context, from string, req *peerpb.Request) (*peerpb.Response, error) {
+	s.stats.pushesIn.Inc(1)
+	s.forward(s.receive(from, req.GetPush()), from)
+	s.compareVersion(from, "", req.GetPush().GetConfigVersion())
+	return nil, nil
+}
--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,86 @@
+package member
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"rhubarbpoint/peer/peerpb"
+)
+
+func entries(t *rapid.T) []entry {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) entry {
+		seq := rapid.Uint64Range(0, 6).Draw(t, "seq")
+		origin := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "origin")
+		value := rapid.Uint32Range(0, 3).Draw(t, "value")
+		switch rapid.IntRange(0, 4).Draw(t, "kind") {
+		case 0:
+			return memberEntry(&peerpb.Member{Id: origin, Seq: seq, ConfigVersion: int64(value)})
+		case 1:
+			return loadEntry(&peerpb.UpstreamLoad{Upstream: "u", Seq: seq, Reporter: origin, Running: value})
+		case 2:
+			return leavingEntry(&peerpb.UpstreamLeaving{Upstream: "u", Seq: seq, Origin: origin, EpochHash: uint64(value)})
+		case 3:
+			return zoneEntry(&peerpb.ZoneSummary{Zone: "z", Seq: seq, Origin: origin,
+				Models: []*peerpb.ModelCapacity{{Engines: value}}})
+		}
+		return suspicionEntry(&peerpb.Suspicion{Fingerprint: []byte{1}, Seq: seq, Origin: origin, Crashes: value})
+	}), 1, 20).Draw(t, "records")
+}
+
+// Guards against instances that hold different records after they have received the same ones in another order, more
+// than once, or through others; and against a record that replaces a newer one.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := entries(t)
+		one, other := newTable(), newTable()
+		for _, e := range records {
+			before := one.entries[e.key]
+			one.merge(time.Time{}, "", e)
+			if after := one.entries[e.key]; before != nil && newer(before, after) {
+				t.Fatalf("record %v went back to %v", before.msg, after.msg)
+			}
+		}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 1))
+		for range 2 {
+			random.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+			for _, e := range records {
+				other.merge(time.Time{}, "", e)
+			}
+		}
+		if len(one.entries) != len(other.entries) {
+			t.Fatal("different keys")
+		}
+		for k, e := range one.entries {
+			if !proto.Equal(e.msg, other.entries[k].msg) {
+				t.Fatalf("%v and %v after the same records", e.msg, other.entries[k].msg)
+			}
+			if other.merge(time.Time{}, "", *e) {
+				t.Fatal("a known record counts as news")
+			}
+		}
+	})
+}
+
+// Guards against signs of life that make a member younger again when they arrive late or repeatedly.
+func TestBeatsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p presence
+		now, highest := time.Unix(0, 0), uint32(0)
+		for _, beat := range rapid.SliceOf(rapid.Uint32Range(0, 600)).Draw(t, "beats") {
+			now = now.Add(time.Second)
+			expanded := p.expand(uint8(beat))
+			if expanded < p.beat || expanded-p.beat > 127 || (expanded != p.beat && uint8(expanded) != uint8(beat)) {
+				t.Fatalf("beat %d expanded to %d at %d", beat, expanded, p.beat)
+			}
+			at := p.at
+			if news := p.hear(expanded, now); news != (expanded > highest) || (!news && p.at != at) {
+				t.Fatal("an old beat counted as a sign of life")
+			}
+			highest = max(highest, expanded)
+		}
+	})
+}
