--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,6 @@
 
 clean:
 	rm -rf bin bench/out
+
+bench-capacity:
+	$(GO) run ./cmd/capacity
--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,149 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"rhubarbpoint/config"
+	"rhubarbpoint/internal/fakenet"
+	"rhubarbpoint/member"
+	"rhubarbpoint/peer"
+	"rhubarbpoint/topo"
+)
+
+// Shape is the size of a fleet.
+type Shape struct {
+	Instances, Regions, ZonesPerRegion, Engines int
+	// TCP uses loopback sockets instead of connections in memory.
+	TCP bool
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	shape     Shape
+	doc       *config.Document
+	network   *fakenet.Network
+	directory *directory
+	nodes     []*node
+	started   int
+}
+
+// directory is an instance list that does not lag.
+type directory struct {
+	mu        sync.Mutex
+	instances []topo.Instance
+	reads     int
+}
+
+// Instances implements topo.Directory.
+func (d *directory) Instances(context.Context) ([]topo.Instance, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reads++
+	return append([]topo.Instance{}, d.instances...), nil
+}
+
+// Start starts a fleet.
+func Start(shape Shape) (*Fleet, error) {
+	f := &Fleet{shape: shape, network: fakenet.New(), directory: &directory{}, doc: document(shape)}
+	for i := range shape.Instances {
+		if err := f.add(i); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Stop ends all instances.
+func (f *Fleet) Stop() {
+	for _, n := range f.nodes {
+		n.cancel()
+	}
+	for _, n := range f.nodes {
+		n.stop()
+	}
+}
+
+func (s Shape) place(i int) (region, zone string) {
+	zones := s.Regions * s.ZonesPerRegion
+	z := i % zones
+	return fmt.Sprintf("region-%d", z/s.ZonesPerRegion), fmt.Sprintf("zone-%d", z)
+}
+
+func (f *Fleet) add(i int) error {
+	region, zone := f.shape.place(i)
+	f.started++
+	id := fmt.Sprintf("entry-%03d-%08x", i, f.started*2654435761%(1<<32))
+	n := &node{zone: zone, metrics: metrics.NewRegistry(), loads: make(map[string]time.Time)}
+	n.set(f.doc.Version, f.doc, nil)
+	listener, dial, err := f.listen(i)
+	if err != nil {
+		return err
+	}
+	address := listener.Addr().String()
+	n.transport = peer.New(peer.Options{
+		Self: id, Dial: dial, Metrics: n.metrics, Address: func(id string) (string, bool) { return n.service.Address(id) },
+	})
+	n.service = member.New(member.Options{
+		ID: id, Region: region, Zone: zone, PeerAddress: address, OperatorAddress: address, Directory: f.directory,
+		Transport: n.transport, Engines: engines{}, Sink: n, Document: n.document, Encoded: n.encoded, Offer: n.offer,
+		Metrics: n.metrics,
+	})
+	n.service.Register(n.transport)
+	n.run(listener)
+	f.nodes = append(f.nodes, n)
+	f.directory.mu.Lock()
+	f.directory.instances = append(f.directory.instances, topo.Instance{
+		ID: id, Kind: topo.KindEntry, Region: region, Zone: zone, Address: address,
+	})
+	f.directory.mu.Unlock()
+	return nil
+}
+
+func (f *Fleet) listen(i int) (net.Listener, func(context.Context, string) (net.Conn, error), error) {
+	if f.shape.TCP {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		return l, nil, errors.Wrap(err, "capacity: listen")
+	}
+	address := fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)
+	return f.network.Listen(address), f.network.Dialer(address), nil
+}
+
+// document has the engines of the shape and the 1,100 workspaces of the size of two years.
+func document(shape Shape) *config.Document {
+	doc := &config.Document{Version: 1}
+	for i := range 7 {
+		doc.Models.Models = append(doc.Models.Models, config.Model{Name: fmt.Sprintf("model-%d", i), Version: "2026-11-30"})
+	}
+	for i := range shape.Engines {
+		region, zone := shape.place(i)
+		address := fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250)
+		doc.Models.Engines = append(doc.Models.Engines, config.Engine{
+			ID: fmt.Sprintf("engine-%04d", i), Address: address, Region: region, Zone: zone, Accelerators: 4,
+			Models: []string{doc.Models.Models[i%7].Name},
+		})
+	}
+	for i := range 1100 {
+		digest := fmt.Sprintf("%016x%016x%016x%016x", random(i, 1), random(i, 2), random(i, 3), random(i, 4))
+		doc.Callers.Workspaces = append(doc.Callers.Workspaces, config.Workspace{
+			Name: fmt.Sprintf("workspace-of-team-%d", i), KeySHA256: digest, Weight: 1, Priority: 5,
+		})
+	}
+	return doc
+}
+
+func encode(doc *config.Document) []byte {
+	data, err := json.Marshal(doc)
+	if err != nil {
+		panic(err) // the types of the document can always be encoded
+	}
+	return data
+}
--- /dev/null
+++ b/internal/capacity/measure.go
@@ -0,0 +1,202 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Result is what one instance costs on average, and how long news takes to reach all of them.
+type Result struct {
+	Shape         Shape
+	Live          int     // members seen by the instance that sees the fewest
+	BytesIn       float64 // per second, with the framing of yamux
+	BytesOut      float64
+	WorstBytes    float64 // received and sent, of the busiest instance
+	PacketsOut    float64 // writes per second
+	Calls         float64 // sent per second
+	RecordBytes   float64 // of records sent, per second
+	BeatBytes     float64
+	Repeated      float64 // share of received load records that were known
+	Polls         float64
+	LoadAge50     time.Duration // age of the load records in use
+	LoadAge99     time.Duration
+	Core          float64 // share of a processor
+	MemoryMB      float64 // heap and stacks in use after a collection
+	Sessions      float64
+	ListReads     float64 // of the whole fleet per second
+	ConfigSpread  time.Duration
+	ConfigBytes   float64 // received for one change
+	DocumentBytes int
+	LeavingSpread time.Duration
+	Missing       int // load records that instances lack
+}
+
+// Run starts a fleet, waits for warm, measures for span and then times a configuration change and a leaving upstream.
+func Run(shape Shape, warm, span time.Duration) (*Result, error) {
+	runtime.GC()
+	f, err := Start(shape)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	time.Sleep(warm)
+	r := &Result{Shape: shape, Live: shape.Instances}
+	f.measure(r, span)
+	for _, n := range f.nodes {
+		r.Live = min(r.Live, len(n.service.Live()))
+	}
+	f.spread(r)
+	return r, nil
+}
+
+func (f *Fleet) measure(r *Result, span time.Duration) {
+	before, cpu, reads := f.counters(), processorTime(), f.reads()
+	began := time.Now()
+	time.Sleep(span)
+	seconds := time.Since(began).Seconds()
+	after, busy := f.counters(), processorTime()-cpu
+	each := seconds * float64(len(f.nodes))
+	rate := func(name string) float64 {
+		var sum int64
+		for i := range after {
+			sum += after[i][name] - before[i][name]
+		}
+		return float64(sum) / each
+	}
+	for i := range after {
+		both := after[i]["peer.bytes_in"] + after[i]["peer.bytes_out"] - before[i]["peer.bytes_in"] - before[i]["peer.bytes_out"]
+		r.WorstBytes = max(r.WorstBytes, float64(both)/seconds)
+	}
+	r.BytesIn, r.BytesOut, r.PacketsOut = rate("peer.bytes_in"), rate("peer.bytes_out"), rate("peer.packets_out")
+	r.Calls, r.Polls = rate("peer.calls"), rate("member.polls")
+	r.RecordBytes, r.BeatBytes = rate("member.record_bytes"), rate("member.beat_bytes")
+	if loads := rate("member.loads_received"); loads > 0 {
+		r.Repeated = rate("member.loads_repeated") / loads
+	}
+	r.ListReads = float64(f.reads()-reads) / seconds
+	r.Core = busy.Seconds() / each
+	for i := range after {
+		r.Sessions += float64(after[i]["peer.sessions"]) / float64(len(f.nodes))
+	}
+	f.ages(r)
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	r.MemoryMB = float64(m.HeapInuse+m.StackInuse) / float64(len(f.nodes)) / 1e6
+}
+
+// ages collects how old the load records are that instances hold of the engines of their zones.
+func (f *Fleet) ages(r *Result) {
+	now := time.Now()
+	var ages []time.Duration
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		for _, e := range f.doc.Models.Engines {
+			if e.Zone != n.zone {
+				continue
+			}
+			if at, known := n.loads[e.ID]; known {
+				ages = append(ages, now.Sub(at))
+			} else {
+				r.Missing++
+			}
+		}
+		n.mu.Unlock()
+	}
+	if len(ages) > 0 {
+		slices.Sort(ages)
+		r.LoadAge50, r.LoadAge99 = ages[len(ages)/2], ages[len(ages)*99/100]
+	}
+}
+
+// spread times a configuration change that one instance learns of, and an upstream that one instance sees leaving.
+func (f *Fleet) spread(r *Result) {
+	const limit = 30 * time.Second
+	changed := *f.doc
+	changed.Version = 2
+	data := encode(&changed)
+	r.DocumentBytes = len(data)
+	before := f.counters()
+	began := time.Now()
+	f.nodes[0].set(2, &changed, data)
+	r.ConfigSpread = f.wait(began, limit, func(n *node) (time.Time, bool) { return n.changed, n.version == 2 })
+	after := f.counters()
+	seconds := time.Since(began).Seconds()
+	for i := range after {
+		r.ConfigBytes += float64(after[i]["peer.bytes_in"]-before[i]["peer.bytes_in"]) / float64(len(after))
+	}
+	r.ConfigBytes -= r.BytesIn * seconds
+	began = time.Now()
+	f.nodes[len(f.nodes)/2].service.UpstreamLeaving(f.doc.Models.Engines[0].ID, 1)
+	r.LeavingSpread = f.wait(began, limit, func(n *node) (time.Time, bool) { return n.left, !n.left.IsZero() })
+}
+
+// wait returns when the last instance reached the state, or the limit.
+func (f *Fleet) wait(began time.Time, limit time.Duration, reached func(*node) (time.Time, bool)) time.Duration {
+	for time.Since(began) < limit {
+		all, last := true, began
+		for _, n := range f.nodes {
+			n.mu.Lock()
+			at, ok := reached(n)
+			n.mu.Unlock()
+			all = all && ok
+			if at.After(last) {
+				last = at
+			}
+		}
+		if all {
+			return last.Sub(began)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return limit
+}
+
+func (f *Fleet) reads() int {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	return f.directory.reads
+}
+
+func (f *Fleet) counters() []map[string]int64 {
+	all := make([]map[string]int64, len(f.nodes))
+	for i, n := range f.nodes {
+		all[i] = make(map[string]int64)
+		n.metrics.Each(func(name string, metric any) {
+			switch m := metric.(type) {
+			case metrics.Counter:
+				all[i][name] = m.Count()
+			case metrics.Gauge:
+				all[i][name] = m.Value()
+			}
+		})
+	}
+	return all
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// Header is the head of the table that String fills.
+const Header = "instances,engines,zones,live,in B/s,out B/s,worst in+out B/s,packets/s,calls/s,records B/s,beats B/s," +
+	"repeated,polls/s,load age p50,load age p99,missing,core %,MB,sessions,list reads/s,config spread,config B,document B,leaving spread"
+
+// String returns one line of comma-separated values.
+func (r *Result) String() string {
+	return fmt.Sprintf("%d,%d,%d,%d,%.0f,%.0f,%.0f,%.1f,%.1f,%.0f,%.0f,%.2f,%.1f,%v,%v,%d,%.2f,%.2f,%.1f,%.1f,%v,%.0f,%d,%v",
+		r.Shape.Instances, r.Shape.Engines, r.Shape.Regions*r.Shape.ZonesPerRegion, r.Live, r.BytesIn, r.BytesOut,
+		r.WorstBytes, r.PacketsOut, r.Calls, r.RecordBytes, r.BeatBytes, r.Repeated, r.Polls,
+		r.LoadAge50.Round(time.Millisecond), r.LoadAge99.Round(time.Millisecond), r.Missing, 100*r.Core, r.MemoryMB,
+		r.Sessions, r.ListReads, r.ConfigSpread.Round(time.Millisecond), r.ConfigBytes, r.DocumentBytes,
+		r.LeavingSpread.Round(time.Millisecond))
+}
