--- /dev/null
+++ b/admit/fair.go
@@ -0,0 +1,167 @@
+package admit
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// pressureTime is how long shares stay in force after a request was refused as too late.
+	pressureTime = 5 * time.Second
+	// rampTime is the time from the end of an outage until the whole capacity is used again, rampStart its first share.
+	// Callers repeat what failed, so the work of the whole outage can arrive at once.
+	rampTime  = 10 * time.Second
+	rampStart = 0.25
+	// probe lets the measured throughput grow, since shares would otherwise freeze it at what they let through.
+	probe = 1.1
+	// floor bounds the measured throughput from below, relative to the capacity.
+	floor = 0.25
+	// idleTime is the time after which a workspace without requests is forgotten.
+	idleTime = time.Minute
+	// minWeight and minCost keep a missing value from a division by zero.
+	minWeight = 0.01
+	minCost   = 0.001
+)
+
+// Fair admits requests that can finish in time. While there is more work than the engines can do, it divides the
+// capacity between workspaces by weight; otherwise it sets no limits. It is safe for concurrent use.
+type Fair struct {
+	mu       sync.Mutex
+	capacity float64 // seconds of one engine for each second; 0 means unknown or none
+	outage   bool
+	ramp     time.Time // start of the ramp after an outage
+	pressed  time.Time // last refusal as too late
+	shares   map[string]*share
+	total    share // all that was offered
+	admitted share // all that was admitted
+	swept    time.Time
+}
+
+var _ Admitter = (*Fair)(nil)
+
+// NewFair returns an admitter without known capacity.
+func NewFair() *Fair { return &Fair{shares: make(map[string]*share)} }
+
+// SetCapacity sets the work that this instance may admit: the number of engines that it can use, divided by the number
+// of instances that share them. Zero means an outage; after it, the admitted work grows from a quarter of the capacity.
+func (f *Fair) SetCapacity(now time.Time, engines float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if engines > 0 && f.outage {
+		f.ramp = now
+	}
+	f.outage = engines <= 0
+	f.capacity = max(engines, 0)
+}
+
+// Admit returns a function to call when the request has ended, or ErrTooLate or ErrOverShare.
+func (f *Fair) Admit(now time.Time, req *Request) (func(time.Time), error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sweep(now)
+	s := f.share(req)
+	cost := max(req.Cost, minCost)
+	s.offer(now, cost)
+	f.total.offer(now, cost)
+	if !req.Deadline.IsZero() && req.Estimate.After(req.Deadline) {
+		f.pressed = now
+		return nil, ErrTooLate
+	}
+	if limit, limited := f.limit(now); limited {
+		if !s.take(now, f.rate(now, s, limit), cost) {
+			return nil, ErrOverShare
+		}
+	} else {
+		s.filled = time.Time{}
+	}
+	f.admitted.offer(now, cost)
+	return func(time.Time) {}, nil
+}
+
+// TooLate tells the admitter that routing refused a request as too late.
+func (f *Fair) TooLate(now time.Time, req *Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.share(req).offer(now, max(req.Cost, minCost))
+	f.total.offer(now, max(req.Cost, minCost))
+	f.pressed = now
+}
+
+func (f *Fair) share(req *Request) *share {
+	s := f.shares[req.Workspace]
+	if s == nil {
+		s = &share{}
+		f.shares[req.Workspace] = s
+	}
+	s.weight = max(req.Weight, minWeight)
+	return s
+}
+
+// limit returns the capacity to divide, and false while there is no need to.
+func (f *Fair) limit(now time.Time) (float64, bool) {
+	f.total.decay(now)
+	f.admitted.decay(now)
+	if since := now.Sub(f.ramp); !f.ramp.IsZero() && since < rampTime {
+		progress := since.Seconds() / rampTime.Seconds()
+		return f.capacity * (rampStart + (1-rampStart)*progress), true
+	}
+	if !f.pressed.IsZero() && now.Sub(f.pressed) < pressureTime {
+		measured := max(probe*f.admitted.offered, floor*f.capacity, minCost)
+		if f.capacity > 0 {
+			measured = min(measured, f.capacity)
+		}
+		return measured, true
+	}
+	return f.capacity, f.capacity > 0 && f.total.offered > f.capacity
+}
+
+// rate returns the workspace's part of the limit.
+func (f *Fair) rate(now time.Time, s *share, limit float64) float64 {
+	claimants := make([]claimant, 0, len(f.shares))
+	for _, name := range slices.Sorted(maps.Keys(f.shares)) { // the order decides how sums are rounded
+		other := f.shares[name]
+		other.decay(now)
+		claimants = append(claimants, claimant{other.weight, other.offered})
+	}
+	return s.weight * level(limit, claimants)
+}
+
+// sweep forgets workspaces that have sent nothing for a while, so that memory follows the active ones.
+func (f *Fair) sweep(now time.Time) {
+	if now.Sub(f.swept) < idleTime {
+		return
+	}
+	f.swept = now
+	for name, s := range f.shares {
+		if now.Sub(s.at) > idleTime {
+			delete(f.shares, name)
+		}
+	}
+}
+
+// State is a dump of the admitter. Rates are in seconds of one engine for each second.
+type State struct {
+	Capacity   float64            `json:"capacity"`
+	Limited    bool               `json:"limited"`
+	Offered    float64            `json:"offered"`
+	Admitted   float64            `json:"admitted"`
+	Workspaces map[string]float64 `json:"workspaces"`
+}
+
+// State returns a dump of the admitter.
+func (f *Fair) State(now time.Time) State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, limited := f.limit(now)
+	s := State{
+		Capacity: f.capacity, Limited: limited, Offered: f.total.offered, Admitted: f.admitted.offered,
+		Workspaces: make(map[string]float64, len(f.shares)),
+	}
+	for name, share := range f.shares {
+		share.decay(now)
+		s.Workspaces[name] = share.offered
+	}
+	return s
+}
--- /dev/null
+++ b/internal/bench/traces.go
@@ -0,0 +1,87 @@
+package bench
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	traceLength = 600 * time.Second
+	// shiftPeriod is the time from one mix to the other.
+	shiftPeriod = 150 * time.Second
+	// shiftRamp is how long a shift takes.
+	shiftRamp = 15 * time.Second
+)
+
+// shifting goes between the two ends of the mix. Regions shift at different times.
+func shifting(region int, at time.Duration) rates {
+	at += time.Duration(region) * 50 * time.Second
+	phase := at % (2 * shiftPeriod)
+	return blend(gradeHeavy, replyHeavy, square(phase.Seconds(), shiftPeriod.Seconds(), shiftRamp.Seconds()))
+}
+
+// square is a wave of period 2×half that goes from 0 to 1 at half and back at 2×half, each within ramp.
+func square(at, half, ramp float64) float64 {
+	if at < half {
+		return 1 - min(1, at/ramp)
+	}
+	return min(1, (at-half)/ramp)
+}
+
+// daily changes the share of prefill work by half within a day that lasts as long as the trace.
+func daily(_ int, at time.Duration) rates {
+	share := 0.5 - 0.4*math.Cos(2*math.Pi*at.Seconds()/traceLength.Seconds())
+	return blend(gradeHeavy, replyHeavy, share)
+}
+
+func steady(int, time.Duration) rates { return evenMix }
+
+// bursting adds bursts of 10 s to a steady mix, in turn of the one and the other workload.
+func bursting(region int, at time.Duration) rates {
+	r := rates{grade: 0.8 * evenMix.grade, reply: 0.8 * evenMix.reply}
+	at += time.Duration(region) * 7 * time.Second
+	if at%(45*time.Second) < 10*time.Second {
+		if (at/(45*time.Second))%2 == 0 {
+			r.grade *= 2.2
+		} else {
+			r.reply *= 2.2
+		}
+	}
+	return r
+}
+
+// Traces returns the generated traces of a seed.
+func Traces(seed uint64) []Trace {
+	lagging, lossy, withdrawn := normalFaults(), normalFaults(), normalFaults()
+	lagging.ReportLag = 3 * time.Second
+	lossy.EventLoss, lossy.EventLag = 0.4, 5*time.Second
+	withdrawn.Withdrawn = []Withdrawal{{Engine: 1, From: 180 * time.Second, To: 300 * time.Second}}
+	specs := []struct {
+		name   string
+		load   profile
+		faults Faults
+	}{
+		{"steady", steady, normalFaults()},
+		{"shift", shifting, normalFaults()},
+		{"day", daily, normalFaults()},
+		{"bursts", bursting, normalFaults()},
+		{"withdrawn", lighter(shifting, 0.8), withdrawn},
+		{"lag", shifting, lagging},
+		{"loss", shifting, lossy},
+	}
+	traces := make([]Trace, len(specs))
+	for i, s := range specs {
+		traces[i] = Trace{
+			Name: s.name, Length: traceLength, Faults: s.faults,
+			Requests: newGenerator(seed+uint64(i)<<32).generate(traceLength, s.load),
+		}
+	}
+	return traces
+}
+
+func lighter(load profile, factor float64) profile {
+	return func(region int, at time.Duration) rates {
+		r := load(region, at)
+		return rates{factor * r.grade, factor * r.reply}
+	}
+}
--- /dev/null
+++ b/role/engine.go
@@ -0,0 +1,25 @@
+package role
+
+import "rhubarbpoint/engine"
+
+// Engine is what the planner knows of one engine of its region.
+type Engine struct {
+	ID   string
+	Role engine.Role
+	// Usable is false while the engine is leaving, withdrawn, not reporting or being changed.
+	Usable bool
+	// Running counts requests in the batch, Waiting those not started, WaitingTokens their prompt tokens.
+	Running       float64
+	Waiting       float64
+	MaxRunning    float64
+	WaitingTokens float64
+	// Arrivals is the rate of new requests, PrefillPerArrival the mean of prompt tokens to process for one of them.
+	Arrivals          float64
+	PrefillPerArrival float64
+	// PrefillRate is in tokens/s in the engine's present role.
+	PrefillRate float64
+	// DecodeRate is the output tokens/s of the largest batch whose step is within the target, StepSeconds the present
+	// time between two tokens.
+	DecodeRate  float64
+	StepSeconds float64
+}
--- /dev/null
+++ b/role/loss.go
@@ -0,0 +1,58 @@
+package role
+
+// counts is the number of engines in each role.
+type counts [3]int
+
+// targetUse is the use of a role above which requests start to be late. At 0.85 the mean wait of a queue with fixed
+// service time is about three service times.
+const targetUse = 0.85
+
+// uncovered is the loss while no engine does a kind of work: all requests of a region fail, however few there are.
+const uncovered = 10.0
+
+// mixedSplits is the number of steps in which the use of mixed engines is divided between prefill and decode.
+const mixedSplits = 10
+
+// loss returns the work that the engines cannot do in time, in seconds of one engine for each second.
+func loss(n counts, c *Capacities, d Demand) float64 {
+	full := c.full()
+	if full.Prefill <= 0 || full.Decode <= 0 {
+		return 0
+	}
+	if n.prefills() == 0 || n.decodes() == 0 {
+		return uncovered
+	}
+	m, p, q := c.role(mixed), c.role(prefill), c.role(decode)
+	best := -1.0
+	for i := 0; i <= mixedSplits; i++ {
+		share := float64(i) / mixedSplits
+		prefillRoom := float64(n[prefill])*p.Prefill + float64(n[mixed])*share*m.Prefill
+		decodeRoom := float64(n[decode])*q.Decode + float64(n[mixed])*(1-share)*m.Decode
+		total := max(0, d.Prefill-targetUse*prefillRoom)/full.Prefill + max(0, d.Decode-targetUse*decodeRoom)/full.Decode
+		if best < 0 || total < best {
+			best = total
+		}
+		if n[mixed] == 0 {
+			break
+		}
+	}
+	return best
+}
+
+// use returns the share of one engine's capacity that is in use in a role.
+func use(n counts, c *Capacities, d Demand, role int) float64 {
+	total := [3]Capacity{c.role(mixed), c.role(prefill), c.role(decode)}
+	var room Capacity
+	for i := range n {
+		room.Prefill += float64(n[i]) * total[i].Prefill
+		room.Decode += float64(n[i]) * total[i].Decode
+	}
+	var share float64
+	if room.Prefill > 0 && role != decode {
+		share = max(share, d.Prefill/room.Prefill)
+	}
+	if room.Decode > 0 && role != prefill {
+		share = max(share, d.Decode/room.Decode)
+	}
+	return min(1, share)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -30,6 +30,8 @@
 	PromptTokens int
 	MaxTokens    int
 	Deadline     time.Time
+	// Arrived is when the request reached the instance; zero means that it has just arrived.
+	Arrived time.Time
 	// Exclude names engines that must not be chosen unless no other is left.
 	Exclude map[string]bool
 	// Avoid names engines that must not be chosen at all.
@@ -45,6 +47,15 @@
 	PrefillAddress string
 	// FirstToken is the estimated time to the first token.
 	FirstToken time.Duration
+	// Finish is the estimated time to the last token.
+	Finish time.Duration
+	// Cost is the estimated work in seconds of one engine.
+	Cost float64
+	// Uncached is the estimated number of prompt tokens that must be processed.
+	Uncached int
+	// Hold is set when the request would be late and delay others that would not: hold it back for this long, then
+	// call Pick again. No engine is chosen.
+	Hold time.Duration
 }
 
 // Outcome is what became of an attempt.
--- /dev/null
+++ b/route/state.go
@@ -0,0 +1,98 @@
+package route
+
+import (
+	"time"
+
+	"rhubarbpoint/engine"
+)
+
+// EngineState is one engine of a state dump and the input of the role planner.
+type EngineState struct {
+	ID        string      `json:"id"`
+	Region    string      `json:"region"`
+	Local     bool        `json:"local"`
+	Available bool        `json:"available"`
+	Leaving   bool        `json:"leaving,omitempty"`
+	Planned   bool        `json:"planned,omitempty"`
+	Reported  bool        `json:"reported"`
+	Role      engine.Role `json:"role,omitempty"`
+	// ReportAge is the age of the load report in seconds.
+	ReportAge float64 `json:"report_age_s"`
+	// WaitingTokens, Running, MaxRunning and PrefillRate are estimates for the time of the dump.
+	WaitingTokens float64 `json:"waiting_tokens"`
+	Running       float64 `json:"running"`
+	Waiting       int     `json:"waiting"`
+	MaxRunning    float64 `json:"max_running"`
+	PrefillRate   float64 `json:"prefill_tokens_per_second"`
+	// Arrivals is the reported rate of requests, PrefillPerArrival the mean of tokens to process for one of them.
+	Arrivals          float64 `json:"arrivals_per_second"`
+	PrefillPerArrival float64 `json:"prefill_tokens_per_arrival"`
+	StepSeconds       float64 `json:"step_s"`
+	// DecodeRate is the expected output in tokens/s of the largest batch whose step is within the target.
+	DecodeRate  float64 `json:"decode_tokens_per_second"`
+	OwnInFlight int     `json:"own_in_flight"`
+	KnownPieces int     `json:"known_pieces"`
+	// Models are the loaded name@version.
+	Models []string `json:"models,omitempty"`
+}
+
+// State is a dump of a table.
+type State struct {
+	Engines []EngineState `json:"engines"`
+	// UnmetPrefill and UnmetDecode are the rates of work refused as too late by this instance, in tokens/s.
+	UnmetPrefill float64 `json:"unmet_prefill_tokens_per_second"`
+	UnmetDecode  float64 `json:"unmet_decode_tokens_per_second"`
+}
+
+// State returns a dump of the table.
+func (t *Table) State(now time.Time) State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unmet.decay(now)
+	s := State{UnmetPrefill: t.unmet.prefill, UnmetDecode: t.unmet.decode}
+	for _, u := range t.engines {
+		s.Engines = append(s.Engines, t.engineState(now, u))
+	}
+	return s
+}
+
+func (t *Table) engineState(now time.Time, u *upstream) EngineState {
+	e := u.estimate(now, 0)
+	s := EngineState{
+		ID: u.cfg.ID, Region: u.cfg.Region, Local: u.local,
+		Available: u.available(now), Leaving: u.leaving, Planned: now.Before(u.plannedUntil),
+		WaitingTokens: e.waiting, Running: e.running, MaxRunning: e.maximum, PrefillRate: e.rate,
+		PrefillPerArrival: u.prefills.or(0), OwnInFlight: len(u.legs), KnownPieces: u.prefixes.pieces.Len(),
+	}
+	if !u.fresh(now) {
+		return s
+	}
+	s.Reported = true
+	s.Role = RoleOf(u.load.Role)
+	s.Leaving = s.Leaving || u.load.Draining
+	s.ReportAge = now.Sub(u.loadAt).Seconds()
+	s.Waiting = int(u.load.Waiting)
+	s.Arrivals = float64(u.load.ArrivalsMilli) / 1000
+	s.StepSeconds = float64(u.load.StepMicros) / 1e6
+	s.DecodeRate = t.decodeRate(u.load.Role, e.maximum)
+	for _, index := range u.load.Models {
+		if int(index) < len(t.versions) {
+			s.Models = append(s.Models, t.versions[index])
+		}
+	}
+	return s
+}
+
+// decodeRate returns the output of a role's largest batch within the target.
+func (t *Table) decodeRate(role uint32, maximum float64) float64 {
+	steps := t.stepModel(role)
+	disturbed := 0.0
+	if role == roleMixed {
+		disturbed = 1 // prompts are processed beside the batch
+	}
+	batch := maximum
+	if slope := steps.theta[1]; slope > 0 {
+		batch = min(batch, max(1, (t.target.between-steps.predict(0, disturbed))/slope))
+	}
+	return batch / steps.predict(batch, disturbed)
+}
