--- a/internal/bench/holder.go
+++ b/internal/bench/holder.go
@@ -84,7 +84,8 @@
 			Engine: role.Engine{
 				ID: e.ID, Role: e.Role, Usable: e.Available, Running: e.Running, Waiting: float64(e.Waiting),
 				MaxRunning: e.MaxRunning, WaitingTokens: e.WaitingTokens, Arrivals: e.Arrivals,
-				PrefillPerArrival: e.PrefillPerArrival, PrefillRate: e.PrefillRate,
+				PrefillPerArrival: e.PrefillPerArrival, DecodePerArrival: e.DecodePerArrival,
+				CachedTokens: float64(e.KnownPieces * engine.PieceTokens), PrefillRate: e.PrefillRate,
 				DecodeRate: e.DecodeRate, StepSeconds: e.StepSeconds,
 			},
 			Reported: now.Add(-time.Duration(e.ReportAge * float64(time.Second))),
--- a/internal/bench/piece_cache.go
+++ b/internal/bench/piece_cache.go
@@ -23,8 +23,8 @@
 
 // reset empties the cache and gives it another size, as a change of role does.
 func (c *pieceCache) reset(size int) {
-	if c.pieces != nil {
-		c.pieces.Purge()
+	for c.pieces != nil && c.pieces.Len() > 0 {
+		c.pieces.RemoveOldest() // in order, unlike Purge
 	}
 	pieces, err := lru.NewLRU(size, func(piece uint64, _ struct{}) { c.event(piece, true) })
 	if err != nil {
--- a/role/demand.go
+++ b/role/demand.go
@@ -25,12 +25,8 @@
 		if role != decode {
 			d.Prefill += e.Arrivals*e.PrefillPerArrival + e.WaitingTokens/(backlogSeconds+demandMemory)
 		}
-		if role != prefill && e.StepSeconds > 0 {
-			running := e.Running
-			if e.Running >= e.MaxRunning {
-				running += e.Waiting
-			}
-			d.Decode += running / e.StepSeconds
+		if role != prefill {
+			d.Decode += e.Arrivals * e.DecodePerArrival
 		}
 	}
 	return d
@@ -38,7 +34,7 @@
 
 // follow moves the estimate towards a sample that stands for dt seconds.
 func (d *Demand) follow(sample Demand, dt float64) {
-	weight := 1 - math.Exp(-dt/demandMemory)
+	weight := 1 - math.Exp(-dt/tune[1])
 	d.Prefill += weight * (sample.Prefill - d.Prefill)
 	d.Decode += weight * (sample.Decode - d.Decode)
 }
--- a/role/engine.go
+++ b/role/engine.go
@@ -16,6 +16,10 @@
 	// Arrivals is the rate of new requests, PrefillPerArrival the mean of prompt tokens to process for one of them.
 	Arrivals          float64
 	PrefillPerArrival float64
+	// DecodePerArrival is the mean of expected answer tokens for one request.
+	DecodePerArrival float64
+	// CachedTokens are the prompt tokens believed to be in its prefix cache.
+	CachedTokens float64
 	// PrefillRate is in tokens/s in the engine's present role.
 	PrefillRate float64
 	// DecodeRate is the output tokens/s of the largest batch whose step is within the target, StepSeconds the present
--- a/role/loss.go
+++ b/role/loss.go
@@ -1,18 +1,41 @@
 package role
 
+import "math"
+
 // counts is the number of engines in each role.
 type counts [3]int
 
-// targetUse is the use of a role above which requests start to be late. At 0.85 the mean wait of a queue with fixed
-// service time is about three service times.
-const targetUse = 0.85
+func (n counts) prefills() int { return n[prefill] + n[mixed] }
+func (n counts) decodes() int  { return n[decode] + n[mixed] }
 
-// uncovered is the loss while no engine does a kind of work: all requests of a region fail, however few there are.
-const uncovered = 10.0
+func (n counts) after(o option) counts {
+	n[o.from]--
+	n[o.to]++
+	return n
+}
 
 // mixedSplits is the number of steps in which the use of mixed engines is divided between prefill and decode.
 const mixedSplits = 10
 
+// uncovered is the loss while no engine does a kind of work: all requests of a region fail, however few there are.
+const uncovered = 10.0
+
+// The share of late work grows with the use of the engines: with its sixth power, to lateWhenFull at full use. In
+// replays, a tenth to a fifth of the answers is late when the work equals the capacity.
+const (
+	lateWhenFull = 0.15
+	latePower    = 6
+)
+
+// inTime returns the work that is done in time, for a demand and a capacity in the same unit.
+func inTime(demand, capacity float64) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	use := min(1, demand/capacity)
+	return capacity * use * (1 - tune[3]*math.Pow(use, tune[4]))
+}
+
 // loss returns the work that the engines cannot do in time, in seconds of one engine for each second.
 func loss(n counts, c *Capacities, d Demand) float64 {
 	full := c.full()
@@ -23,15 +46,13 @@
 		return uncovered
 	}
 	m, p, q := c.role(mixed), c.role(prefill), c.role(decode)
-	best := -1.0
+	best := math.Inf(1)
 	for i := 0; i <= mixedSplits; i++ {
 		share := float64(i) / mixedSplits
 		prefillRoom := float64(n[prefill])*p.Prefill + float64(n[mixed])*share*m.Prefill
 		decodeRoom := float64(n[decode])*q.Decode + float64(n[mixed])*(1-share)*m.Decode
-		total := max(0, d.Prefill-targetUse*prefillRoom)/full.Prefill + max(0, d.Decode-targetUse*decodeRoom)/full.Decode
-		if best < 0 || total < best {
-			best = total
-		}
+		total := (d.Prefill-inTime(d.Prefill, prefillRoom))/full.Prefill + (d.Decode-inTime(d.Decode, decodeRoom))/full.Decode
+		best = min(best, total)
 		if n[mixed] == 0 {
 			break
 		}
--- a/role/planner.go
+++ b/role/planner.go
@@ -8,6 +8,8 @@
 package role
 
 import (
+	"fmt"
+	"os"
 	"time"
 
 	"rhubarbpoint/engine"
@@ -27,6 +29,8 @@
 	// changed is the time of the last change; drained is the mean time until an engine was empty, in seconds.
 	changed time.Time
 	drained float64
+	// paid is the price of the last change, in seconds of one engine: also the time for which it stays.
+	paid float64
 }
 
 // NewPlanner returns a planner without memory.
@@ -75,16 +79,20 @@
 		return nil
 	}
 	n := usable(in)
-	p.accumulate(n, dt)
 	if p.dwelling(in.Now) {
+		clear(p.regret) // the engine warms up its cache, so its load says little
 		return nil
 	}
+	p.accumulate(n, dt)
+	if os.Getenv("PDEBUG") != "" && len(in.Engines) > 0 && in.Engines[0].ID[:2] == os.Getenv("PDEBUG") {
+		fmt.Fprintf(os.Stderr, "%d n=%v cap=%.0f d=%.0f s=%.0f um=%.0f/%.0f loss=%.2f regret=%s\n", in.Now.Unix()-1700000000, n, p.capacities.of, p.demand, sample, in.UnmetPrefill, in.UnmetDecode, loss(n, &p.capacities, p.demand), fmt.Sprint(p.regret))
+	}
 	return p.best(in, n)
 }
 
 // dwelling says whether the last change is so recent that its engine has not yet served for as long as it cost.
 func (p *Planner) dwelling(now time.Time) bool {
-	return !p.changed.IsZero() && now.Sub(p.changed).Seconds() < p.policy.Away.Seconds()+p.policy.Price
+	return !p.changed.IsZero() && now.Sub(p.changed).Seconds() < tune[5]*p.paid
 }
 
 func usable(in *Input) counts {
@@ -115,15 +123,6 @@
 	}
 }
 
-func (n counts) after(o option) counts {
-	n[o.from]--
-	n[o.to]++
-	return n
-}
-
-func (n counts) prefills() int { return n[prefill] + n[mixed] }
-func (n counts) decodes() int  { return n[decode] + n[mixed] }
-
 // allowed says whether a change leaves each kind of work that some engine does with another engine, also while the
 // changed engine is away. A kind that no engine does any more, because the last one was withdrawn, does not bar it.
 func allowed(n counts, o option) bool {
@@ -135,11 +134,18 @@
 	return (n.prefills() > 0 || before.prefills() == 0) && (n.decodes() > 0 || before.decodes() == 0)
 }
 
+// rewarmShare is the part of an engine's prefix cache that other engines have to process again after a change.
+const rewarmShare = 0.5
+
 // price is the work that a change costs, in seconds of one engine: the share of the engine's time that is in use, for
 // the time until it is empty and changed, and the configured price.
-func (p *Planner) price(n counts, o option) float64 {
+func (p *Planner) price(in *Input, n counts, o option) float64 {
 	away := p.policy.Away.Seconds() + p.drained/2 // the engine works on half of its requests on average while it drains
-	return p.policy.Price + away*use(n, &p.capacities, p.demand, o.from)
+	warm := 0.0
+	if e := emptiest(in, roles[o.from]); e != nil && p.capacities.full().Prefill > 0 {
+		warm = tune[0] * e.CachedTokens / p.capacities.full().Prefill
+	}
+	return p.policy.Price + warm + tune[2]*away*use(n, &p.capacities, p.demand, o.from)
 }
 
 // best returns the change whose regret exceeds its price by most.
@@ -153,7 +159,7 @@
 				continue
 			}
 			gain := loss(n, &p.capacities, p.demand) - loss(n.after(o), &p.capacities, p.demand)
-			if over := p.regret[o] - p.price(n, o); over > excess && gain > 0 {
+			if over := p.regret[o] - p.price(in, n, o); over > excess && gain > 0 {
 				chosen, excess = o, over
 			}
 		}
@@ -167,6 +173,7 @@
 	}
 	gain := loss(n, &p.capacities, p.demand) - loss(n.after(chosen), &p.capacities, p.demand)
 	clear(p.regret)
+	p.paid = p.price(in, n, chosen)
 	return &Change{EngineID: e.ID, From: roles[chosen.from], To: roles[chosen.to], Gain: gain}
 }
 
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -19,17 +19,15 @@
 	doubt float64
 }
 
-// estimate adds to the report what this instance has sent since and what the others are expected to have sent.
-func (u *upstream) estimate(now time.Time, modelRate float64) estimate {
+// estimate returns the expected state; stay is the mean time of a request in the batch in seconds. It adds to the report what this instance has sent since and what the others are expected to have sent.
+func (u *upstream) estimate(now time.Time, modelRate, stay float64) estimate {
 	e := estimate{rate: modelRate, maximum: defaultMaxRunning}
 	if e.rate <= 0 {
 		e.rate = defaultPrefillRate
 	}
 	own := u.ownRate(now)
 	if !u.fresh(now) {
-		for _, l := range u.legs {
-			e.add(l)
-		}
+		e.add(u.sentAfter(time.Time{}))
 		e.busy = min(1, own*u.prefills.or(0)/e.rate)
 		return e
 	}
@@ -44,21 +42,37 @@
 	expected := others * age * u.prefills.or(0)
 	e.waiting = float64(u.load.WaitingTokens) + expected
 	e.running = float64(u.load.Running) - float64(len(u.ended))
-	for _, l := range u.legs {
-		if l.sent.After(u.loadAt) {
-			e.add(l)
-		}
+	if u.load.Role != rolePrefill {
+		e.running += float64(u.load.Waiting) // they will take a place in the batch
 	}
+	e.add(u.sentAfter(u.loadAt))
 	e.waiting = max(0, e.waiting-e.rate*age)
+	if u.load.Role != rolePrefill && others > 0 {
+		// The others' requests come and go: the reported batch empties in the mean time that a request stays.
+		leave := e.running * min(1, age/max(stay, age)) * others / (others + own)
+		e.running += others*age - leave
+	}
 	e.running = max(0, e.running)
 	e.busy = min(1, (others+own)*u.prefills.or(0)/e.rate)
 	e.doubt = expected / e.rate
 	return e
 }
 
-func (e *estimate) add(l leg) {
-	e.waiting += l.prefillTokens
-	if l.decodes {
-		e.running++
+// sentAfter sums the own work sent after a time. Sums of whole numbers do not depend on the order of the map.
+func (u *upstream) sentAfter(at time.Time) (tokens, decodes int) {
+	for _, l := range u.legs {
+		if !l.sent.After(at) {
+			continue
+		}
+		tokens += l.prefillTokens
+		if l.decodes {
+			decodes++
+		}
 	}
+	return tokens, decodes
+}
+
+func (e *estimate) add(tokens, decodes int) {
+	e.waiting += float64(tokens)
+	e.running += float64(decodes)
 }
--- a/route/pick.go
+++ b/route/pick.go
@@ -88,9 +88,6 @@
 		}
 	}
 	if t.holdBack(now, chosen, req) {
-		if now.Sub(arrival(now, req)) < holdTime {
-			t.unmet.add(now, chosen.todo, t.answerLength(req))
-		}
 		return Choice{Hold: holdTime, FirstToken: seconds(chosen.first), Finish: seconds(chosen.finish), Cost: chosen.cost}, nil
 	}
 	if !chosen.decode.local {
@@ -112,7 +109,7 @@
 	if o.slow && o.full {
 		return true
 	}
-	late := now.Sub(arrival(now, req)).Seconds()+o.first > t.target.first+tune[0]
+	late := now.Sub(arrival(now, req)).Seconds()+o.first > t.target.first+0.2
 	return late && (o.queue > holdQueue*t.target.first || o.crowded)
 }
 
@@ -238,16 +235,22 @@
 	return min(float64(max(req.MaxTokens, 1)), t.length(req.MaxTokens).or(float64(max(req.MaxTokens, 1))))
 }
 
+// stepsAndStay returns the step model of the engine's role and the mean stay in its batch.
+func (t *Table) stepsAndStay(u *upstream) (*stepModel, float64) {
+	if u.load == nil {
+		steps := t.stepModel(roleMixed)
+		return steps, t.meanStay(steps, 0)
+	}
+	steps := t.stepModel(u.load.Role)
+	return steps, t.meanStay(steps, float64(u.load.Running))
+}
+
 // place estimates the parts of the cost of one engine.
 func (t *Table) place(now time.Time, u *upstream, req *Request) place {
-	p := place{u: u, state: u.estimate(now, t.models[req.Model].PrefillTokensPerSecond)}
-	role := uint32(roleMixed)
-	if u.load != nil {
-		role = u.load.Role
-	}
-	p.uncached = u.uncached(now, req)
+	steps, stay := t.stepsAndStay(u)
+	p := place{u: u, state: u.estimate(now, t.models[req.Model].PrefillTokensPerSecond, stay)}
+	p.uncached = float64(u.uncached(now, req))
 	p.prefill = (p.state.waiting + p.uncached) / p.state.rate
-	steps := t.stepModel(role)
 	n := p.state.running
 	length := t.answerLength(req)
 	disturbed := 0.0
@@ -255,12 +258,11 @@
 		disturbed = 1
 	}
 	p.step = steps.predict(n+1, disturbed)
-	stay := t.meanStay(steps, n)
 	if over := n + 1 - p.state.maximum; over > 0 {
 		p.seat = over / p.state.maximum * stay
 	}
 	p.crowd = t.crowding(steps, n, disturbed, length)
-	p.load = tune[1] * p.uncached / p.state.rate * min(tune[2], p.state.busy/(1-min(p.state.busy, 0.8)))
+	p.load = p.uncached / p.state.rate * min(4, p.state.busy/(1-min(p.state.busy, 0.8)))
 	p.harm = t.disturbance(steps, n, p.uncached/p.state.rate, stay)
 	return p
 }
@@ -281,7 +283,7 @@
 		return 0
 	}
 	// A tenth of the target is the margin over which a prediction turns from sure to late.
-	excess := (steps.predict(n+1, disturbed) - t.target.between) / (0.1 * t.target.between)
+	excess := (steps.predict(n+1, disturbed) - tune[0]*t.target.between) / (0.1 * t.target.between)
 	if excess <= -1 {
 		return 0
 	}
@@ -316,7 +318,7 @@
 		doubt:   p.state.doubt,
 		todo:    p.uncached,
 		queue:   p.state.waiting/p.state.rate + p.seat,
-		slow:    p.step > t.target.between && t.answerLength(req) > 1,
+		slow:    p.step > tune[0]*t.target.between && t.answerLength(req) > 1,
 		full:    p.state.running > p.state.maximum/2,
 		crowded: p.state.running > holdBatch*p.state.maximum,
 	}
@@ -336,7 +338,7 @@
 		doubt:   p.state.doubt,
 		todo:    p.uncached,
 		queue:   p.state.waiting/p.state.rate + d.seat,
-		slow:    d.step > t.target.between && t.answerLength(req) > 1,
+		slow:    d.step > tune[0]*t.target.between && t.answerLength(req) > 1,
 		full:    d.state.running > d.state.maximum/2,
 		crowded: d.state.running > holdBatch*d.state.maximum,
 	}
--- a/route/prefix_view.go
+++ b/route/prefix_view.go
@@ -62,6 +62,17 @@
 	return known
 }
 
+// size returns the number of pieces that are believed to be in the cache.
+func (v *prefixView) size(now time.Time) int {
+	limit, n := v.lifetimeLimit(), 0
+	for _, s := range v.pieces.Values() {
+		if !s.evicted && now.Sub(s.at) <= limit {
+			n++
+		}
+	}
+	return n
+}
+
 // lifetimeLimit is unbounded until an eviction was seen. The factor allows for pieces that live longer than the mean.
 func (v *prefixView) lifetimeLimit() time.Duration {
 	if !v.lifetime.known {
--- a/route/state.go
+++ b/route/state.go
@@ -27,6 +27,7 @@
 	// Arrivals is the reported rate of requests, PrefillPerArrival the mean of tokens to process for one of them.
 	Arrivals          float64 `json:"arrivals_per_second"`
 	PrefillPerArrival float64 `json:"prefill_tokens_per_arrival"`
+	DecodePerArrival  float64 `json:"answer_tokens_per_arrival"`
 	StepSeconds       float64 `json:"step_s"`
 	// DecodeRate is the expected output in tokens/s of the largest batch whose step is within the target.
 	DecodeRate  float64 `json:"decode_tokens_per_second"`
@@ -57,12 +58,13 @@
 }
 
 func (t *Table) engineState(now time.Time, u *upstream) EngineState {
-	e := u.estimate(now, 0)
+	_, stay := t.stepsAndStay(u)
+	e := u.estimate(now, 0, stay)
 	s := EngineState{
 		ID: u.cfg.ID, Region: u.cfg.Region, Local: u.local,
 		Available: u.available(now), Leaving: u.leaving, Planned: now.Before(u.plannedUntil),
 		WaitingTokens: e.waiting, Running: e.running, MaxRunning: e.maximum, PrefillRate: e.rate,
-		PrefillPerArrival: u.prefills.or(0), OwnInFlight: len(u.legs), KnownPieces: u.prefixes.pieces.Len(),
+		PrefillPerArrival: u.prefills.or(0), DecodePerArrival: u.decodes.or(0), OwnInFlight: len(u.legs), KnownPieces: u.prefixes.size(now),
 	}
 	if !u.fresh(now) {
 		return s
--- a/route/step_model.go
+++ b/route/step_model.go
@@ -11,18 +11,19 @@
 const (
 	// stepForget is the weight of old reports; about 200 reports have an effect.
 	stepForget = 0.995
-	// stepPriorVariance is the initial uncertainty of the terms, large against squares of typical times (s²).
-	stepPriorVariance = 1e-3
+	// stepNoise is the variance of a reported step in s²: reports average over a second of varying batches.
+	stepNoise = 4e-6
+	// The initial uncertainty of the terms: 30 ms for the base and the prompts, 1 ms for each running request.
+	stepPriorBase  = 1e-3 / stepNoise
+	stepPriorSlope = 1e-6 / stepNoise
 	// stepCovarianceLimit stops the growth of uncertainty while the load does not vary.
-	stepCovarianceLimit = 1.0
+	stepCovarianceLimit = 10 * stepPriorBase
 )
 
 // newStepModel starts from a step that reaches the target at maxRunning.
 func newStepModel(target float64, maxRunning int) *stepModel {
 	m := &stepModel{theta: [3]float64{0.4 * target, 0.5 * target / float64(max(maxRunning, 1)), 0}}
-	m.cov[0][0] = stepPriorVariance
-	m.cov[1][1] = stepPriorVariance / 100
-	m.cov[2][2] = stepPriorVariance
+	m.cov[0][0], m.cov[1][1], m.cov[2][2] = stepPriorBase, stepPriorSlope, stepPriorBase
 	return m
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -200,22 +200,27 @@
 	}
 	if first != nil {
 		todo := first.uncached(now, req)
-		first.begin(now, req.ID, leg{sent: now, prefillTokens: todo, decodes: second == nil})
+		answer := t.answerLength(req)
+		if second != nil {
+			answer = 0
+		}
+		first.begin(now, req.ID, leg{sent: now, prefillTokens: todo, decodes: second == nil, answer: answer})
 		first.prefixes.used(now, req.Pieces)
 	}
 	if second != nil {
-		second.begin(now, req.ID, leg{sent: now, decodes: true})
+		second.begin(now, req.ID, leg{sent: now, decodes: true, answer: t.answerLength(req)})
 	}
 }
 
-func (u *upstream) uncached(now time.Time, req *Request) float64 {
-	return max(1, float64(req.PromptTokens-u.prefixes.cached(now, req.Pieces)*engine.PieceTokens))
+func (u *upstream) uncached(now time.Time, req *Request) int {
+	return max(1, req.PromptTokens-u.prefixes.cached(now, req.Pieces)*engine.PieceTokens)
 }
 
 func (u *upstream) begin(now time.Time, id string, l leg) {
 	u.legs[id] = l
 	u.sends = append(u.sends, now)
-	u.prefills.add(l.prefillTokens)
+	u.prefills.add(float64(l.prefillTokens))
+	u.decodes.add(l.answer)
 }
 
 // Finished ends what Sent began.
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -38,6 +38,7 @@
 	ended    []time.Time // ends of own decodes that began before the report
 	sends    []time.Time // own sends within arrivalWindow
 	prefills mean        // tokens to process for each own send
+	decodes  mean        // expected answer tokens for each own send
 }
 
 func newUpstream(cfg config.Engine, local bool) *upstream {
