--- a/internal/bench/opt_test.go
+++ b/internal/bench/opt_test.go
@@ -1,9 +1,16 @@
 package bench
 
-import ("testing";"fmt";"os";"time")
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+)
 
 func TestOpt(t *testing.T) {
-	if os.Getenv("OPTT")=="" { t.Skip() }
+	if os.Getenv("OPTT") == "" {
+		t.Skip()
+	}
 	traces := Traces(1)
 	for i := range traces {
 		t0 := time.Now()
--- a/internal/bench/optimum.go
+++ b/internal/bench/optimum.go
@@ -73,7 +73,7 @@
 			c.roles[region], c.moves[region] = schedule(path)
 		}
 		if awaySlots == 2 {
-			opt.Estimate = total / trace.Length.Seconds()
+			opt.Estimate = total / (trace.Length - trace.warmup()).Seconds()
 		}
 		for _, lead := range []time.Duration{0, 10 * time.Second} {
 			jobs = append(jobs, c.earlier(lead))
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -34,7 +34,7 @@
 		seed: seed, trace: trace, policy: policy, random: rand.New(rand.NewPCG(seed, 7)),
 		byID: make(map[string]*engineModel), gone: make(map[int]bool), seen: make(map[uint64]bool),
 		result: &Result{
-			Policy: policy.Name, Trace: trace.Name, Requests: len(trace.Requests),
+			Policy: policy.Name, Trace: trace.Name, Requests: trace.counted(),
 			GoodByWorkload: make(map[string]int), GoodByWorkspace: make(map[string]int),
 		},
 	}
@@ -46,7 +46,7 @@
 	s.schedule()
 	s.advance(trace.Length + time.Minute)
 	r := s.result
-	r.Goodput = float64(r.Good) / trace.Length.Seconds()
+	r.Goodput = float64(r.Good) / (trace.Length - trace.warmup()).Seconds()
 	r.Late = r.Requests - r.Good - r.Refused
 	return r
 }
@@ -243,6 +243,9 @@
 // finish ends an attempt at its engine; ok is false when it expired there.
 func (s *Sim) finish(a *attempt, ok bool) {
 	s.after(a.latency, func() { a.entry.finished(s.time(), a, ok) })
+	if !s.counts(a) {
+		return
+	}
 	if !ok {
 		s.result.Expired++
 		return
@@ -264,4 +267,11 @@
 	}
 }
 
-func (s *Sim) refuse(*attempt) { s.result.Refused++ }
+func (s *Sim) refuse(a *attempt) {
+	if s.counts(a) {
+		s.result.Refused++
+	}
+}
+
+// counts says whether a request came after the warm-up.
+func (s *Sim) counts(a *attempt) bool { return a.req.at() >= s.trace.warmup() }
--- a/internal/bench/suite.go
+++ b/internal/bench/suite.go
@@ -86,7 +86,7 @@
 	}
 	optimum := optimise(trace, seed, pool, known)
 	return &TraceReport{
-		Trace: trace.Name, Requests: len(trace.Requests), Rows: append(rows, optimum.BestStatic, optimum.Best),
+		Trace: trace.Name, Requests: trace.counted(), Rows: append(rows, optimum.BestStatic, optimum.Best),
 		Estimate: optimum.Estimate, Replays: optimum.Replays,
 	}
 }
--- a/internal/bench/trace.go
+++ b/internal/bench/trace.go
@@ -32,3 +32,20 @@
 func normalFaults() Faults {
 	return Faults{ReportLag: 300 * time.Millisecond, EventLag: time.Second, EventLoss: 0.02}
 }
+
+// warmupLimit is the time at the start that is not counted: caches are empty and no policy knows the mix yet, while a
+// schedule made in hindsight would start in the right roles.
+const warmupLimit = 60 * time.Second
+
+func (t *Trace) warmup() time.Duration { return min(warmupLimit, t.Length/10) }
+
+// counted is the number of requests after the warm-up.
+func (t *Trace) counted() int {
+	n := 0
+	for i := range t.Requests {
+		if t.Requests[i].at() >= t.warmup() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/bench/traces.go
+++ b/internal/bench/traces.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	traceLength = 600 * time.Second
+	traceLength = 660 * time.Second
 	// shiftPeriod is the time from one mix to the other.
 	shiftPeriod = 150 * time.Second
 	// shiftRamp is how long a shift takes.
--- a/internal/bench/tune_test.go
+++ b/internal/bench/tune_test.go
@@ -14,6 +14,10 @@
 		t.Skip()
 	}
 	traces := Traces(1)
+	if os.Getenv("SEEDS") != "" {
+		traces = append(traces, Traces(2)...)
+		traces = append(traces, Traces(3)...)
+	}
 	var ps []Policy
 	for _, n := range strings.Split(os.Getenv("TUNING"), ",") {
 		p := Policy{Name: n}
@@ -52,7 +56,10 @@
 			c += r.RoleChanges
 			fmt.Printf(" %.3f", float64(r.Good)/float64(r.Requests))
 		}
-		fmt.Printf(" =%.3f c%d", s/7, c); for i := range traces { fmt.Printf(" %d/%d/%d", res[i][j].LateFirst, res[i][j].LateGaps, res[i][j].Refused) }
+		fmt.Printf(" =%.3f c%d", s/float64(len(traces)), c)
+		for i := range traces {
+			fmt.Printf(" %d/%d/%d", res[i][j].LateFirst, res[i][j].LateGaps, res[i][j].Refused)
+		}
 	}
 	fmt.Println()
 }
--- a/role/demand.go
+++ b/role/demand.go
@@ -34,7 +34,7 @@
 
 // follow moves the estimate towards a sample that stands for dt seconds.
 func (d *Demand) follow(sample Demand, dt float64) {
-	weight := 1 - math.Exp(-dt/tune[1])
+	weight := 1 - math.Exp(-dt/demandMemory)
 	d.Prefill += weight * (sample.Prefill - d.Prefill)
 	d.Decode += weight * (sample.Decode - d.Decode)
 }
--- a/role/loss.go
+++ b/role/loss.go
@@ -20,20 +20,21 @@
 // uncovered is the loss while no engine does a kind of work: all requests of a region fail, however few there are.
 const uncovered = 10.0
 
-// The share of late work grows with the use of the engines: with its sixth power, to lateWhenFull at full use. In
-// replays, a tenth to a fifth of the answers is late when the work equals the capacity.
+// The share of late prompts grows with the use of the prefill engines: with its fourth power, to lateWhenFull at full
+// use. A prompt takes up to the target time itself, so the queue makes most of them late when the work equals the
+// capacity. A batch serves many requests side by side, so answers are in time up to full use.
 const (
-	lateWhenFull = 0.15
-	latePower    = 6
+	lateWhenFull = 0.7
+	latePower    = 4
 )
 
-// inTime returns the work that is done in time, for a demand and a capacity in the same unit.
-func inTime(demand, capacity, lateWhenFull float64) float64 {
+// prefillInTime returns the prompt tokens/s that are processed in time.
+func prefillInTime(demand, capacity float64) float64 {
 	if capacity <= 0 {
 		return 0
 	}
 	use := min(1, demand/capacity)
-	return capacity * use * (1 - lateWhenFull*math.Pow(use, tune[4]))
+	return capacity * use * (1 - lateWhenFull*math.Pow(use, latePower))
 }
 
 // loss returns the work that the engines cannot do in time, in seconds of one engine for each second.
@@ -51,7 +52,7 @@
 		share := float64(i) / mixedSplits
 		prefillRoom := float64(n[prefill])*p.Prefill + float64(n[mixed])*share*m.Prefill
 		decodeRoom := float64(n[decode])*q.Decode + float64(n[mixed])*(1-share)*m.Decode
-		total := (d.Prefill-inTime(d.Prefill, prefillRoom, tune[3]))/full.Prefill + (d.Decode-inTime(d.Decode, decodeRoom, tune[6]))/full.Decode
+		total := (d.Prefill-prefillInTime(d.Prefill, prefillRoom))/full.Prefill + (d.Decode-min(d.Decode, decodeRoom))/full.Decode
 		best = min(best, total)
 		if n[mixed] == 0 {
 			break
--- a/role/planner.go
+++ b/role/planner.go
@@ -8,8 +8,6 @@
 package role
 
 import (
-	"fmt"
-	"os"
 	"time"
 
 	"rhubarbpoint/engine"
@@ -84,15 +82,12 @@
 		return nil
 	}
 	p.accumulate(n, dt)
-	if os.Getenv("PDEBUG") != "" && len(in.Engines) > 0 && in.Engines[0].ID[:2] == os.Getenv("PDEBUG") {
-		fmt.Fprintf(os.Stderr, "%d n=%v cap=%.0f d=%.0f s=%.0f um=%.0f/%.0f loss=%.2f regret=%s\n", in.Now.Unix()-1700000000, n, p.capacities.of, p.demand, sample, in.UnmetPrefill, in.UnmetDecode, loss(n, &p.capacities, p.demand), fmt.Sprint(p.regret))
-	}
 	return p.best(in, n)
 }
 
 // dwelling says whether the last change is so recent that its engine has not yet served for as long as it cost.
 func (p *Planner) dwelling(now time.Time) bool {
-	return !p.changed.IsZero() && now.Sub(p.changed).Seconds() < tune[5]*p.paid
+	return !p.changed.IsZero() && now.Sub(p.changed).Seconds() < p.paid
 }
 
 func usable(in *Input) counts {
@@ -135,7 +130,11 @@
 }
 
 // rewarmShare is the part of an engine's prefix cache that other engines have to process again after a change.
-const rewarmShare = 0.5
+const rewarmShare = 0.8
+
+// disturbance is how much work is lost for each second of work that the changed engine does not do. While it drains,
+// the rest of its role takes over all new work at once; replays lose about twice what the absence itself costs.
+const disturbance = 2.0
 
 // price is the work that a change costs, in seconds of one engine: the share of the engine's time that is in use, for
 // the time until it is empty and changed, and the configured price.
@@ -143,9 +142,9 @@
 	away := p.policy.Away.Seconds() + p.drained/2 // the engine works on half of its requests on average while it drains
 	warm := 0.0
 	if e := emptiest(in, roles[o.from]); e != nil && p.capacities.full().Prefill > 0 {
-		warm = tune[0] * e.CachedTokens / p.capacities.full().Prefill
+		warm = rewarmShare * e.CachedTokens / p.capacities.full().Prefill
 	}
-	return p.policy.Price + warm + tune[2]*away*use(n, &p.capacities, p.demand, o.from)
+	return p.policy.Price + warm + disturbance*away*use(n, &p.capacities, p.demand, o.from)
 }
 
 // best returns the change whose regret exceeds its price by most.
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -8,6 +8,9 @@
 	defaultMaxRunning  = 32
 )
 
+// minShare keeps an instance that sends little to an engine from never using it.
+const minShare = 0.05
+
 // estimate is the expected state of an engine at a given time.
 type estimate struct {
 	waiting float64 // prompt tokens not yet processed
@@ -17,11 +20,12 @@
 	busy    float64 // share of time spent on prompts, 0 to 1
 	// doubt is the time by which the waiting time may be wrong, in seconds: the work that others may have sent.
 	doubt float64
+	share float64 // own part of the arrivals, 0 to 1
 }
 
 // estimate returns the expected state; stay is the mean time of a request in the batch in seconds. It adds to the report what this instance has sent since and what the others are expected to have sent.
 func (u *upstream) estimate(now time.Time, modelRate, stay float64) estimate {
-	e := estimate{rate: modelRate, maximum: defaultMaxRunning}
+	e := estimate{rate: modelRate, maximum: defaultMaxRunning, share: 1}
 	if e.rate <= 0 {
 		e.rate = defaultPrefillRate
 	}
@@ -39,6 +43,9 @@
 	}
 	age := max(0, now.Sub(u.loadAt).Seconds())
 	others := max(0, float64(u.load.ArrivalsMilli)/1000-own)
+	if others > 0 {
+		e.share = max(minShare, own/(own+others))
+	}
 	expected := others * age * u.prefills.or(0)
 	e.waiting = float64(u.load.WaitingTokens) + expected
 	e.running = float64(u.load.Running) - float64(len(u.ended))
--- a/route/pick.go
+++ b/route/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbpoint/config"
+	"rhubarbpoint/engine"
 	"rhubarbpoint/peer/peerpb"
 )
 
@@ -24,6 +25,8 @@
 	allowedGaps = 0.05
 	// holdTime is the time between two looks at a request that is held back; reports come about once a second.
 	holdTime = 200 * time.Millisecond
+	// holdDoubt is by how much a request must be late for sure, in seconds.
+	holdDoubt = 0.2
 	// holdQueue is the wait, relative to the target, up to which late requests are let through.
 	holdQueue = 0.05
 	// holdBatch is the use of a batch up to which they are let through. The rest is for requests that are in time.
@@ -48,6 +51,7 @@
 	queue   float64 // seconds of waiting behind others
 	slow    bool    // the batch would be slower than the target
 	full    bool    // more than half of the batch is in use
+	share   float64 // this instance's part of the arrivals at the engine
 	crowded bool    // the batch has no room beyond what requests that are in time may need
 }
 
@@ -111,8 +115,15 @@
 	if o.slow && o.full {
 		return true
 	}
-	late := now.Sub(arrival(now, req)).Seconds()+o.first > t.target.first+0.2
-	return late && (o.queue > holdQueue*t.target.first || o.crowded)
+	waited := now.Sub(arrival(now, req))
+	if waited.Seconds()+o.first <= t.target.first+holdDoubt {
+		return false
+	}
+	if o.queue > holdQueue*t.target.first || o.crowded {
+		return true
+	}
+	// Each instance lets through its share of what there is room for, since all see the same room.
+	return waited > 0 && t.random.Float64() >= o.share
 }
 
 func (o *option) choice() Choice {
@@ -137,12 +148,21 @@
 		return 0
 	})
 	best := &options[0]
-	if len(options) > 1 && options[1].score-best.score <= equalScore+(best.doubt+options[1].doubt)/2 && t.random.IntN(2) == 1 {
+	if len(options) > 1 && equal(best, &options[1]) && t.random.IntN(2) == 1 {
 		return &options[1]
 	}
 	return best
 }
 
+// equal says whether two options are equally good as far as the estimates can tell. An option that finds more of the
+// prompt in its cache is better for certain: what the other one processes again delays later requests too.
+func equal(best, second *option) bool {
+	if second.todo-best.todo >= engine.PieceTokens {
+		return false
+	}
+	return second.score-best.score <= equalScore+(best.doubt+second.doubt)/2
+}
+
 func bestOf(options []option) *option {
 	var best *option
 	for i := range options {
@@ -322,6 +342,7 @@
 		queue:   p.state.waiting/p.state.rate + p.seat,
 		slow:    p.step > sureStep*t.target.between && t.answerLength(req) > 1,
 		full:    p.state.running > p.state.maximum/2,
+		share:   p.state.share,
 		crowded: p.state.running > holdBatch*p.state.maximum,
 	}
 }
@@ -342,6 +363,7 @@
 		queue:   p.state.waiting/p.state.rate + d.seat,
 		slow:    d.step > sureStep*t.target.between && t.answerLength(req) > 1,
 		full:    d.state.running > d.state.maximum/2,
+		share:   max(p.state.share, d.state.share),
 		crowded: d.state.running > holdBatch*d.state.maximum,
 	}
 }
--- a/route/prefix_view.go
+++ b/route/prefix_view.go
@@ -73,12 +73,13 @@
 	return n
 }
 
-// lifetimeLimit is unbounded until an eviction was seen. The factor allows for pieces that live longer than the mean.
+// lifetimeLimit is unbounded until an eviction was seen. The factor allows for pieces
+// that live longer than the mean, and for uses by other instances, which cause no event.
 func (v *prefixView) lifetimeLimit() time.Duration {
 	if !v.lifetime.known {
 		return time.Duration(1<<63 - 1)
 	}
-	return seconds(1.5 * v.lifetime.value)
+	return seconds(4 * v.lifetime.value)
 }
 
 // apply takes a batch of events. Events are late, so an eviction of a piece that was sent again after the batch was
--- a/route/table.go
+++ b/route/table.go
@@ -137,6 +137,10 @@
 	if u == nil || !u.takeLoad(load) {
 		return
 	}
+	if load.Waiting > 0 && load.WaitingTokens > 0 {
+		// All instances' requests wait there, so this mean follows the mix faster than own sends do.
+		u.prefills.add(float64(load.WaitingTokens) / float64(load.Waiting))
+	}
 	busy := 0.0
 	if load.PrefillTokensPerSecond > 0 {
 		busy = min(1, float64(load.ArrivalsMilli)/1000*u.prefills.or(0)/float64(load.PrefillTokensPerSecond))
