Assemble the entry instance; start whole fleets of processes; demo

daemon joins configuration, membership, routing, claims, authority, role control and the caller listener. The instance list names instances, members are processes: authority now asks a Processes interface, and daemon relates the two by the peer address. Planned changes are spread as records of their own that expire (UpstreamPlanned).

Found by the first runs of the demo: routing can hold a request back (Choice.Hold), which entry took for a choice of an empty engine; orders were refused by the fair shares of engine work, which they do not use. An answer that has begun is never held back or refused as too late.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 generate:
 	$(GO) generate ./...
+	$(GO) test ./internal/docgen ./daemon -run 'IsCurrent|TestCatalogue' -update
 
 # Replays traces under all policies: make bench SEED=7, or make bench TRACE=file.
 SEED ?= 1
@@ -23,3 +24,7 @@
 
 bench-capacity:
 	$(GO) run ./cmd/capacity
+
+# Plays a recorded trace through a fleet of separate processes on loopback.
+demo: build
+	./bin/demo
--- a/admit/admit.go
+++ b/admit/admit.go
@@ -17,13 +17,19 @@
 type Request struct {
 	Workspace string
 	Weight    float64
-	// Cost is the estimated work in seconds of one engine.
+	// Cost is the estimated work in seconds of one engine; 0 for a call that uses no engine, which only its deadline
+	// can refuse.
 	Cost     float64
 	Deadline time.Time
 	// Estimate is when the request is expected to finish, from routing.
 	Estimate time.Time
 }
 
+// LateObserver is an Admitter that also takes note of requests that routing refused as too late.
+type LateObserver interface {
+	TooLate(now time.Time, req *Request)
+}
+
 // Admitter decides on requests. Implementations are safe for concurrent use.
 type Admitter interface {
 	// Admit returns a function to call when the request has ended, or ErrTooLate or ErrOverShare.
--- a/admit/fair.go
+++ b/admit/fair.go
@@ -58,6 +58,13 @@
 
 // Admit returns a function to call when the request has ended, or ErrTooLate or ErrOverShare.
 func (f *Fair) Admit(now time.Time, req *Request) (func(time.Time), error) {
+	late := !req.Deadline.IsZero() && req.Estimate.After(req.Deadline)
+	if req.Cost == 0 {
+		if late {
+			return nil, ErrTooLate
+		}
+		return func(time.Time) {}, nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sweep(now)
@@ -65,7 +72,7 @@
 	cost := max(req.Cost, minCost)
 	s.offer(now, cost)
 	f.total.offer(now, cost)
-	if !req.Deadline.IsZero() && req.Estimate.After(req.Deadline) {
+	if late {
 		f.pressed = now
 		return nil, ErrTooLate
 	}
--- a/authority/gates.go
+++ b/authority/gates.go
@@ -13,7 +13,6 @@
 	"rhubarbpoint/engine"
 	"rhubarbpoint/peer"
 	"rhubarbpoint/peer/peerpb"
-	"rhubarbpoint/topo"
 )
 
 const (
@@ -100,16 +99,8 @@
 			return false
 		}
 	}
-	listed, err := h.opts.Directory.Instances(ctx)
-	if err != nil {
-		return false
-	}
-	for _, i := range listed {
-		if i.ID == instance {
-			return false
-		}
-	}
-	return true
+	ended, err := h.opts.Processes.Ended(ctx, instance)
+	return err == nil && ended
 }
 
 // replaceGate names another gate in the journal.
@@ -132,17 +123,13 @@
 	return replaced, err
 }
 
-// chooseGate returns a live instance of the region other than this one and the old gate, by rendezvous hash. It must be in the instance
-// list, so that its later absence proves that its process has ended.
+// chooseGate returns a live instance of the region other than this one and the old gate, by rendezvous hash. It must be
+// in the instance list, so that its later absence proves that its process has ended.
 func (h *Holder) chooseGate(ctx context.Context, engineID, old string) (string, error) {
-	listed, err := h.opts.Directory.Instances(ctx)
+	staying, err := h.opts.Processes.Staying(ctx)
 	if err != nil {
 		return "", errors.Wrap(err, "authority: instance list")
 	}
-	staying := make(map[string]bool)
-	for _, i := range listed {
-		staying[i.ID] = i.Kind == topo.KindEntry && !i.Leaving
-	}
 	best, bestScore := "", uint64(0)
 	for _, m := range h.opts.View.Live() {
 		id := m.GetId()
--- a/authority/options.go
+++ b/authority/options.go
@@ -17,7 +17,7 @@
 type Options struct {
 	Region    string
 	Store     topo.Store
-	Directory topo.Directory
+	Processes Processes
 	View      member.View
 	Peers     peer.Caller
 	Engines   engine.Client
--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -75,7 +75,7 @@
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(context.Background())
 	opts := Options{
-		Region: "r", Store: procStore{w.store, p}, Directory: w.directory, View: p, Peers: p,
+		Region: "r", Store: procStore{w.store, p}, Processes: ListedProcesses{w.directory}, View: p, Peers: p,
 		Engines: procEngines{proc: p}, Config: w.config,
 	}
 	gateOpts := opts
--- a/cmd/rhubarbpoint/serve.go
+++ b/cmd/rhubarbpoint/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"log/slog"
 	"os"
 
 	"github.com/google/subcommands"
@@ -14,6 +15,7 @@
 
 type serveCommand struct {
 	settings string
+	level    slog.Level
 }
 
 func (*serveCommand) Name() string     { return "serve" }
@@ -24,6 +26,7 @@
 
 func (c *serveCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "settings file of this instance, in JSON")
+	f.TextVar(&c.level, "log-level", slog.LevelInfo, "lowest level to log: DEBUG, INFO, WARN or ERROR")
 }
 
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -32,7 +35,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	if err := daemon.Run(ctx, s); err != nil {
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: c.level}))
+	if err := daemon.Run(ctx, s, logger); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
--- /dev/null
+++ b/daemon/configured_planner.go
@@ -0,0 +1,23 @@
+package daemon
+
+import (
+	"rhubarbpoint/config"
+	"rhubarbpoint/role"
+)
+
+// configuredPlanner is a planner whose policy follows the document in force. Like role.Planner it is for one goroutine
+// at a time.
+type configuredPlanner struct {
+	*role.Planner
+	models func() config.Models
+}
+
+// Plan implements controller.Planner.
+func (p *configuredPlanner) Plan(in *role.Input) *role.Change {
+	p.SetPolicy(policyOf(p.models()))
+	return p.Planner.Plan(in)
+}
+
+func policyOf(models config.Models) role.Policy {
+	return role.Policy{Away: models.Roles.ChangeTime.D(), Price: models.Roles.RoleChangeCost}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,48 +3,116 @@
 
 import (
 	"context"
-	"encoding/json"
+	"log/slog"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"rhubarbpoint/config"
-	"rhubarbpoint/engine/httpengine"
 	"rhubarbpoint/entry"
 	"rhubarbpoint/settings"
 )
 
-// drainDelay is the default of the setting drain_delay.
-const drainDelay = 5 * time.Second
+const (
+	// stopTimeout bounds the end of the parts behind the caller listener, once all requests have ended.
+	stopTimeout = 10 * time.Second
+	// leaveTimeout bounds telling the peers that this instance leaves.
+	leaveTimeout = 2 * time.Second
+)
 
-// Run serves until the context ends, then stops gracefully.
-func Run(ctx context.Context, s *settings.Settings) error {
-	data, err := os.ReadFile(s.ConfigFile)
+// Run serves until the context ends, then stops gracefully: it gives up its authority, tells its peers, lets the balancer
+// notice, and finishes the requests in flight. It returns an error when a listener fails or a request was cut off.
+func Run(ctx context.Context, s *settings.Settings, logger *slog.Logger) error {
+	i, err := newInstance(ctx, s, logger)
 	if err != nil {
-		return errors.Wrap(err, "daemon: configuration file")
+		return err
 	}
-	var doc config.Document
-	if err := json.Unmarshal(data, &doc); err != nil {
-		return errors.Wrap(err, "daemon: configuration file")
+	eventStarted.Log(ctx, logger, slog.String("instance", i.member.Self()), slog.Int("pid", os.Getpid()))
+	failed := i.start()
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		eventListenerFailed.Log(ctx, logger, slog.Any("error", err))
 	}
-	listener, err := entry.Listen(ctx, s.CallerListen)
-	if err != nil {
-		return errors.Wrap(err, "daemon")
+	return errors.CombineErrors(err, i.stop())
+}
+
+// start runs all parts in the background. The returned channel gets an error when a listener fails.
+func (i *instance) start() <-chan error {
+	failed := make(chan error, 3)
+	var authority, parts context.Context
+	authority, i.stopAuthority = context.WithCancel(context.Background())
+	parts, i.stopParts = context.WithCancel(context.Background())
+	i.running.Go(func() { i.manager.Run(parts) })
+	i.running.Go(func() { _ = i.member.Run(parts) })
+	i.running.Go(func() { i.capacity.run(parts) })
+	i.serve(failed, func() error { return i.transport.Serve(i.listeners.peer) })
+	i.serve(failed, func() error { return i.operator.Serve(i.listeners.operator) })
+	i.serve(failed, func() error { return i.front.Serve(i.listeners.caller) })
+	if i.holder != nil {
+		i.authority.Go(func() { i.holder.Run(authority) })
+		i.authority.Go(func() { i.controller.Run(authority) })
 	}
-	front := entry.NewFront(entry.NewServer(entry.Options{
-		Engines: httpengine.New(), Document: func() *config.Document { return &doc }, Region: s.Region,
-	}))
-	drained := make(chan error, 1)
-	context.AfterFunc(ctx, func() {
-		delay := s.DrainDelay.D()
-		if delay == 0 {
-			delay = drainDelay
+	return failed
+}
+
+func (i *instance) serve(failed chan<- error, run func() error) {
+	i.running.Go(func() {
+		if err := run(); err != nil && i.stopping.Load() == 0 {
+			failed <- err
 		}
-		drained <- front.Drain(delay)
 	})
-	if err := front.Serve(listener); err != nil {
-		return err
+}
+
+// stop gives up the authority and the gates first, so that a successor can act while requests finish here.
+func (i *instance) stop() error {
+	i.stopping.Store(1)
+	eventStopping.Log(context.Background(), i.logger)
+	var handover sync.WaitGroup
+	handover.Go(i.handOver)
+	err := i.front.Drain(i.settings.DrainDelay.D())
+	handover.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if i.claimer != nil {
+		err = errors.CombineErrors(err, i.claimer.Stop(ctx))
 	}
-	return <-drained
+	i.stopParts()
+	_ = i.transport.Shutdown(ctx)
+	_ = i.operator.Shutdown(ctx)
+	i.running.Wait()
+	if i.trace != nil {
+		err = errors.CombineErrors(err, i.trace.Close())
+	}
+	eventStopped.Log(context.Background(), i.logger)
+	return err
+}
+
+func (i *instance) handOver() {
+	i.stopAuthority()
+	i.authority.Wait()
+	if i.gate != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if err := i.gate.Stop(ctx); err != nil {
+			eventGateKept.Log(ctx, i.logger, slog.Any("error", err))
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	i.member.Leave(ctx)
 }
+
+// ready returns why callers should not come here, or nil.
+func (i *instance) ready() error {
+	switch {
+	case !i.manager.Ready():
+		return errors.New("no configuration yet")
+	case !i.front.Ready():
+		return errors.New("stopping")
+	}
+	return nil
+}
+
+var _ entry.Recorder = (*entry.TraceFile)(nil)
--- /dev/null
+++ b/daemon/instance.go
@@ -0,0 +1,203 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
+
+	"rhubarbpoint/admit"
+	"rhubarbpoint/authority"
+	"rhubarbpoint/claim"
+	"rhubarbpoint/config"
+	"rhubarbpoint/config/manager"
+	"rhubarbpoint/engine/httpengine"
+	"rhubarbpoint/entry"
+	"rhubarbpoint/member"
+	"rhubarbpoint/peer"
+	"rhubarbpoint/peer/peerpb"
+	"rhubarbpoint/retry"
+	"rhubarbpoint/role/controller"
+	"rhubarbpoint/route"
+	"rhubarbpoint/settings"
+	"rhubarbpoint/suspect"
+	"rhubarbpoint/topo"
+	"rhubarbpoint/topo/httptopo"
+)
+
+// loadsPerSecond limits the orders that make engines fetch weights, which the platform's weight store limits by rate.
+const loadsPerSecond = 0.2
+
+// instance is one entry instance with all its parts.
+type instance struct {
+	settings  *settings.Settings
+	logger    *slog.Logger
+	metrics   metrics.Registry
+	listeners *listeners
+
+	store     topo.Store
+	directory topo.Directory
+	manager   *manager.Manager
+	transport *peer.Transport
+	member    *member.Service
+	processes *processes
+	engines   *httpengine.Client
+	table     *route.Table
+	upstreams *upstreams
+	capacity  *capacity
+	suspects  *suspect.Table
+	claimer   *claim.Claimer // nil without a platform
+	gate      *authority.Gate
+	holder    *authority.Holder
+	// controller is nil without a platform, like gate and holder.
+	controller *controller.Controller
+	server     *entry.Server
+	front      *entry.Front
+	operator   *operatorListener
+	trace      *entry.TraceFile
+
+	stopping      atomic.Int32
+	stopAuthority context.CancelFunc
+	stopParts     context.CancelFunc
+	authority     sync.WaitGroup
+	running       sync.WaitGroup
+}
+
+func newInstance(ctx context.Context, s *settings.Settings, logger *slog.Logger) (*instance, error) {
+	i := &instance{settings: s, logger: logger, metrics: metrics.NewRegistry(), engines: httpengine.New()}
+	var err error
+	if i.listeners, err = openListeners(ctx, s); err != nil {
+		return nil, err
+	}
+	i.addPlatform()
+	i.addMembership()
+	if err := i.addConfiguration(); err != nil {
+		return nil, err
+	}
+	i.addOrders()
+	i.addAuthority()
+	if err := i.addEntry(); err != nil {
+		return nil, err
+	}
+	i.addOperator()
+	return i, nil
+}
+
+func (i *instance) addPlatform() {
+	if i.settings.Platform == "" {
+		return
+	}
+	client := httptopo.New(i.settings.Platform, i.metrics)
+	i.store, i.directory = client, client
+}
+
+// addMembership makes the parts that depend on each other: the manager asks the membership who watches and for
+// documents of peers, the membership gives the manager's document to peers.
+func (i *instance) addMembership() {
+	id := member.NewID(i.settings.Instance)
+	i.table = route.NewTable(route.Options{Region: i.settings.Region, Zone: i.settings.Zone, Seed: member.EpochHash(id)})
+	i.upstreams = newUpstreams(i.table)
+	i.transport = peer.New(peer.Options{
+		Self: id, Logger: i.logger, Metrics: i.metrics,
+		Address: func(instance string) (string, bool) { return i.member.Address(instance) },
+	})
+	i.manager = manager.New(manager.Options{Store: i.store, Watches: i.watches, Peers: i.askPeers, Logger: i.logger})
+	i.suspects = suspect.New(suspect.Options{Self: id, Logger: i.logger, Publish: func(s *peerpb.Suspicion) {
+		go i.member.Suspect(s)
+	}})
+	i.member = member.New(member.Options{
+		ID: id, Region: i.settings.Region, Zone: i.settings.Zone,
+		PeerAddress: i.settings.PeerListen, OperatorAddress: i.settings.OperatorListen,
+		Seeds: i.settings.Peers, Directory: i.directory, Transport: i.transport, Engines: i.engines,
+		Sink: i.upstreams, Document: i.manager.Current, Encoded: i.manager.Encoded,
+		Offer: func(_ context.Context, version int64, document []byte) error {
+			return i.manager.Offer(version, document)
+		},
+		Suspicion: i.mergeSuspicion, Planned: i.table.SetPlanned,
+		Logger: i.logger, Metrics: i.metrics,
+	})
+	i.member.Register(i.transport)
+	i.processes = &processes{directory: i.directory, view: i.member}
+	i.capacity = &capacity{table: i.table, view: i.member, region: i.settings.Region, fair: admit.NewFair()}
+}
+
+func (i *instance) addConfiguration() error {
+	i.manager.OnChange(func(doc *config.Document) {
+		i.upstreams.SetDocument(doc)
+		go i.member.ConfigChanged()
+	})
+	if i.settings.ConfigFile == "" {
+		return nil
+	}
+	data, err := os.ReadFile(i.settings.ConfigFile)
+	if err != nil {
+		return errors.Wrap(err, "daemon: configuration file")
+	}
+	return errors.Wrap(i.manager.Load(data), "daemon: configuration file")
+}
+
+func (i *instance) addOrders() {
+	if i.store == nil {
+		return
+	}
+	i.claimer = claim.New(claim.Options{
+		Store: i.store, View: i.member, Peers: i.transport, Logger: i.logger, Metrics: i.metrics,
+	})
+	i.transport.Handle(peer.KindClaim, i.claimer.HandleClaim)
+	i.transport.Handle(peer.KindAwaitOutcome, i.claimer.HandleAwaitOutcome)
+}
+
+func (i *instance) addAuthority() {
+	if i.store == nil {
+		return
+	}
+	opts := authority.Options{
+		Region: i.settings.Region, Store: i.store, Processes: i.processes, View: i.member, Peers: i.transport,
+		Engines: i.engines, Config: i.configuredEngines, Loads: rate.NewLimiter(loadsPerSecond, 1),
+		Logger: i.logger, Metrics: i.metrics,
+	}
+	i.gate = authority.NewGate(opts)
+	i.holder = authority.NewHolder(opts, i.gate)
+	i.transport.Handle(peer.KindRegisterFence, i.gate.HandleRegisterFence)
+	i.transport.Handle(peer.KindForwardOrder, i.gate.HandleForwardOrder)
+	i.controller = newController(i)
+}
+
+func (i *instance) addEntry() error {
+	opts := entry.Options{
+		Engines: i.engines, Document: i.manager.Current, Region: i.settings.Region,
+		Router: i.table, Admitter: i.capacity.fair,
+		Suspects: i.suspects, Health: retry.NewHealth(), Budget: retry.NewBudget(),
+		OnLeaving: i.member.UpstreamLeaving, Leaving: i.upstreams.leaving,
+		Metrics: i.metrics, Logger: i.logger,
+	}
+	if i.claimer != nil {
+		opts.Orders = i.claimer
+	}
+	if i.settings.TraceFile != "" {
+		file, err := os.Create(i.settings.TraceFile)
+		if err != nil {
+			return errors.Wrap(err, "daemon: trace file")
+		}
+		i.trace = entry.NewTraceFile(file, i.logger)
+		opts.Recorder = i.trace
+	}
+	i.server = entry.NewServer(opts)
+	i.front = entry.NewFront(i.server)
+	return nil
+}
+
+func (i *instance) configuredEngines() []config.Engine {
+	if doc := i.manager.Current(); doc != nil {
+		return doc.Models.Engines
+	}
+	return nil
+}
+
+func (i *instance) mergeSuspicion(s *peerpb.Suspicion) { i.suspects.Merge(time.Now(), s) }
--- /dev/null
+++ b/daemon/operator_listener.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// operatorListener serves operators.
+type operatorListener struct{ http *http.Server }
+
+func newOperatorListener(handler http.Handler) *operatorListener {
+	return &operatorListener{http: &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}}
+}
+
+// Serve returns nil after Shutdown.
+func (o *operatorListener) Serve(l net.Listener) error {
+	if err := o.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "daemon: operator listener")
+	}
+	return nil
+}
+
+// Shutdown waits for requests in flight until the context ends.
+func (o *operatorListener) Shutdown(ctx context.Context) error {
+	return errors.Wrap(o.http.Shutdown(ctx), "daemon: operator listener")
+}
--- /dev/null
+++ b/daemon/roles.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"rhubarbpoint/authority"
+	"rhubarbpoint/config"
+	"rhubarbpoint/engine"
+	"rhubarbpoint/role"
+	"rhubarbpoint/role/controller"
+	"rhubarbpoint/route"
+)
+
+// emptyRunning is the estimate of running requests below which an engine counts as empty; estimates are fractions.
+const emptyRunning = 0.5
+
+// applier carries the controller's orders with the region's authority. It implements controller.Applier.
+type applier struct{ holder *authority.Holder }
+
+// Apply implements controller.Applier.
+func (a applier) Apply(ctx context.Context, engineID string, order *engine.Order) error {
+	return a.holder.Apply(ctx, engineID, *order)
+}
+
+// Held implements controller.Applier.
+func (a applier) Held() bool {
+	_, held := a.holder.Holding()
+	return held
+}
+
+// newController returns the loop that changes roles and model versions while this instance holds the authority.
+func newController(i *instance) *controller.Controller {
+	return controller.New(controller.Options{
+		Applier: applier{i.holder},
+		Planner: &configuredPlanner{Planner: role.NewPlanner(policyOf(i.models())), models: i.models},
+		View:    i.roleView,
+		Mark: func(_ time.Time, engineID string, until time.Time) {
+			i.member.PlanUpstream(engineID, until)
+		},
+		NewID:     uuid.NewString,
+		Automatic: func() bool { return i.models().Roles.Automatic },
+		Away:      func() time.Duration { return i.models().Roles.ChangeTime.D() },
+		DrainLimit: func() time.Duration {
+			if doc := i.manager.Current(); doc != nil {
+				return doc.Network.MaxRequestDeadline.D()
+			}
+			return 0
+		},
+		Adapters: i.adapters,
+		Logger:   i.logger,
+	})
+}
+
+func (i *instance) models() config.Models {
+	if doc := i.manager.Current(); doc != nil {
+		return doc.Models
+	}
+	return config.Models{}
+}
+
+func (i *instance) adapters(model string) []string {
+	for _, m := range i.models().Models {
+		if m.Name == model {
+			return m.Adapters
+		}
+	}
+	return nil
+}
+
+// roleView is what this instance knows of its region's engines. Refused work is known of this instance only, and
+// counted as many times as the region has instances.
+func (i *instance) roleView(now time.Time) controller.View {
+	state := i.table.State(now)
+	instances := i.capacity.instances()
+	view := controller.View{UnmetPrefill: state.UnmetPrefill * instances, UnmetDecode: state.UnmetDecode * instances}
+	models := i.models()
+	for _, e := range state.Engines {
+		if e.Region != i.settings.Region || !e.Reported {
+			continue
+		}
+		view.Engines = append(view.Engines, roleEngine(now, e, wanted(&models, e.ID)))
+	}
+	return view
+}
+
+func roleEngine(now time.Time, e route.EngineState, want []string) controller.Engine {
+	return controller.Engine{
+		Engine: role.Engine{
+			ID: e.ID, Role: e.Role, Usable: e.Available,
+			Running: e.Running, Waiting: float64(e.Waiting), MaxRunning: e.MaxRunning, WaitingTokens: e.WaitingTokens,
+			Arrivals: e.Arrivals, PrefillPerArrival: e.PrefillPerArrival, DecodePerArrival: e.DecodePerArrival,
+			CachedTokens: float64(e.KnownPieces * engine.PieceTokens), PrefillRate: e.PrefillRate,
+			DecodeRate: e.DecodeRate, StepSeconds: e.StepSeconds,
+		},
+		Reported: now.Add(-time.Duration(e.ReportAge * float64(time.Second))),
+		Empty:    e.Running < emptyRunning && e.Waiting == 0 && e.OwnInFlight == 0,
+		Models:   e.Models,
+		Want:     want,
+	}
+}
+
+// wanted returns the name@version of the models that an engine shall serve, in order.
+func wanted(models *config.Models, engineID string) []string {
+	var only []string
+	for _, e := range models.Engines {
+		if e.ID == engineID {
+			only = e.Models
+		}
+	}
+	var want []string
+	for _, m := range models.Models {
+		if len(only) == 0 || slices.Contains(only, m.Name) {
+			want = append(want, m.Name+"@"+m.Version)
+		}
+	}
+	slices.Sort(want)
+	return want
+}
--- /dev/null
+++ b/daemon/upstreams.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"rhubarbpoint/config"
+	"rhubarbpoint/route"
+)
+
+// leavingTime is how long a replica of a plain service gets no new calls after it was reported as leaving. Such
+// replicas report no start epoch, so a replacement at the same address is only seen by time.
+const leavingTime = 2 * time.Minute
+
+// upstreams passes what the membership learns to the route table and notes which replicas of plain services leave. It
+// implements route.Sink and is safe for concurrent use.
+type upstreams struct {
+	*route.Table
+
+	mu       sync.Mutex
+	services map[string]bool
+	left     map[string]time.Time
+}
+
+var _ route.Sink = (*upstreams)(nil)
+
+func newUpstreams(table *route.Table) *upstreams {
+	return &upstreams{Table: table, services: make(map[string]bool), left: make(map[string]time.Time)}
+}
+
+// SetDocument implements route.Sink.
+func (u *upstreams) SetDocument(doc *config.Document) {
+	u.Table.SetDocument(doc)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	clear(u.services)
+	for _, service := range doc.Orders.Services {
+		for _, replica := range service.Upstreams {
+			u.services[replica.ID] = true
+		}
+	}
+}
+
+// SetLeaving implements route.Sink.
+func (u *upstreams) SetLeaving(id string, epochHash uint64) {
+	u.mu.Lock()
+	if u.services[id] {
+		u.left[id] = time.Now()
+	}
+	u.mu.Unlock()
+	u.Table.SetLeaving(id, epochHash)
+}
+
+// leaving says whether a replica of a plain service must get no new calls.
+func (u *upstreams) leaving(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	at, found := u.left[id]
+	if found && time.Since(at) > leavingTime {
+		delete(u.left, id)
+		return false
+	}
+	return found
+}
--- /dev/null
+++ b/daemon/watchers.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/peer/peerpb"
+)
+
+const (
+	// watchersPerZone instances hold a watch on the configuration: two, so that the failure of one does not delay a
+	// change by the peers' time-out.
+	watchersPerZone = 2
+	// askTimeout bounds the question to one peer for its document.
+	askTimeout = 4 * time.Second
+)
+
+// watches says whether this instance is one of its zone's watchers, by rendezvous hash over the live members.
+func (i *instance) watches() bool {
+	own := xxhash.Sum64String("watch/" + i.member.Self())
+	higher := 0
+	for _, m := range i.member.Live() {
+		if m.GetRegion() != i.settings.Region || m.GetZone() != i.settings.Zone || m.GetId() == i.member.Self() {
+			continue
+		}
+		if xxhash.Sum64String("watch/"+m.GetId()) > own {
+			higher++
+		}
+	}
+	return higher < watchersPerZone
+}
+
+// askPeers returns the document of a peer: a live member, or a seed of the settings while no member is known.
+func (i *instance) askPeers(ctx context.Context) ([]byte, error) {
+	var err error = errors.New("daemon: no peer has a document")
+	for _, address := range i.peerAddresses() {
+		call, cancel := context.WithTimeout(ctx, askTimeout)
+		resp, callErr := i.transport.CallAddress(call, address, &peerpb.Request{
+			From: i.member.Self(), Call: &peerpb.Request_FetchConfig{FetchConfig: &peerpb.FetchConfig{}},
+		})
+		cancel()
+		if callErr != nil {
+			err = errors.CombineErrors(err, callErr)
+			continue
+		}
+		if document := resp.GetConfig().GetDocument(); len(document) > 0 {
+			return document, nil
+		}
+	}
+	return nil, err
+}
+
+func (i *instance) peerAddresses() []string {
+	var addresses []string
+	for _, m := range i.member.Live() {
+		if m.GetId() != i.member.Self() {
+			addresses = append(addresses, m.GetPeerAddress())
+		}
+	}
+	if len(addresses) == 0 {
+		addresses = append(addresses, i.settings.Peers...)
+	}
+	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	return addresses
+}
--- a/entry/order.go
+++ b/entry/order.go
@@ -14,9 +14,6 @@
 	"rhubarbpoint/claim"
 )
 
-// orderCost is the work of an order for the fair shares, in seconds of one engine. Orders use no engine.
-const orderCost = 0.001
-
 // runOrder runs a non-idempotent call under its claim.
 func (e *exchange) runOrder(ctx context.Context, key string) (*claim.Answer, *Error) {
 	s := e.server
@@ -27,7 +24,7 @@
 	answer, err := s.opts.Orders.Run(ctx, key, e.fingerprint(), func(ctx context.Context) (*claim.Answer, error) {
 		// Admission comes after the claim, so that a refusal is certain to be not_run.
 		release, err := s.opts.Admitter.Admit(time.Now(), &admit.Request{
-			Workspace: e.call.workspace.Name, Weight: e.call.workspace.Weight, Cost: orderCost,
+			Workspace: e.call.workspace.Name, Weight: e.call.workspace.Weight,
 			Deadline: e.call.deadline, Estimate: time.Now(),
 		})
 		if err != nil {
--- a/entry/place.go
+++ b/entry/place.go
@@ -29,6 +29,12 @@
 		if errors.Is(err, errUnwanted) && (waited || len(avoid) == 0) {
 			err = nil
 		}
+		if err == nil && choice.Hold > 0 {
+			if !pause(ctx, choice.Hold) {
+				return route.Choice{}, nil, context.Cause(ctx)
+			}
+			continue
+		}
 		if err == nil {
 			if err = g.admit(now, choice); err == nil {
 				var run *suspect.Run
@@ -56,14 +62,23 @@
 func (g *generation) pick(now time.Time, avoid map[string]bool) (route.Choice, error) {
 	req := *g.route
 	req.Avoid = avoid
+	req.Arrived = g.call.arrived
+	if len(g.whole.Delivered()) > 0 {
+		// An answer that has begun goes on at once, also when it will be late.
+		req.Arrived, req.Deadline = time.Time{}, time.Time{}
+	}
 	req.Exclude = g.s.unhealthy(now)
 	for id := range g.route.Exclude {
 		req.Exclude[id] = true
 	}
 	choice, err := g.s.opts.Router.Pick(now, &req)
 	if err != nil {
+		g.noteRefusal(now, err)
 		return choice, err
 	}
+	if choice.Hold > 0 {
+		return choice, nil
+	}
 	if len(avoid) > 0 || len(g.whole.Delivered()) > 0 {
 		choice.PrefillID, choice.PrefillAddress = "", ""
 	}
@@ -88,17 +103,46 @@
 	if g.release != nil {
 		return nil
 	}
-	expected := g.s.expected.get(g.model.Name)
-	decode := expected.decode(g.req.MaxTokens)
-	rate := orDefault(g.model.PrefillTokensPerSecond, defaultPrefillRate)
-	release, err := g.s.opts.Admitter.Admit(now, &admit.Request{
-		Workspace: g.call.workspace.Name, Weight: g.call.workspace.Weight,
-		Cost:     float64(g.route.PromptTokens)/rate + decode.Seconds()/expectedBatch,
-		Deadline: g.call.deadline, Estimate: now.Add(choice.FirstToken + decode),
-	})
+	req := g.admission(now)
+	if choice.Cost > 0 {
+		req.Cost, req.Estimate = choice.Cost, now.Add(choice.Finish)
+	}
+	release, err := g.s.opts.Admitter.Admit(now, req)
 	if err != nil {
 		return err
 	}
 	g.release = release
 	return nil
 }
+
+// admission describes the request by the mean of earlier ones. Routing knows more, if it gives an estimate.
+func (g *generation) admission(now time.Time) *admit.Request {
+	expected := g.s.expected.get(g.model.Name)
+	decode := expected.decode(g.req.MaxTokens)
+	rate := orDefault(g.model.PrefillTokensPerSecond, defaultPrefillRate)
+	prefill := float64(g.route.PromptTokens) / rate
+	return &admit.Request{
+		Workspace: g.call.workspace.Name, Weight: g.call.workspace.Weight,
+		Cost:     prefill + decode.Seconds()/expectedBatch,
+		Deadline: g.call.deadline, Estimate: now.Add(time.Duration(prefill*float64(time.Second)) + decode),
+	}
+}
+
+// noteRefusal tells the admitter of a request that no engine can answer in time, the first time that it is refused.
+func (g *generation) noteRefusal(now time.Time, err error) {
+	if observer, ok := g.s.opts.Admitter.(admit.LateObserver); ok && g.release == nil && errors.Is(err, route.ErrTooLate) {
+		observer.TooLate(now, g.admission(now))
+	}
+}
+
+// pause returns false when the context has ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fleet/options.go
@@ -0,0 +1,34 @@
+package fleet
+
+import "time"
+
+// Options say what to start.
+type Options struct {
+	// Bin is the folder of the programs rhubarbpoint and standin.
+	Bin string
+	// Dir takes settings and logs.
+	Dir string
+	// Regions, EntriesPerRegion, EnginesPerRegion and ServicesPerRegion are the numbers of processes.
+	Regions           int
+	EntriesPerRegion  int
+	EnginesPerRegion  int
+	ServicesPerRegion int
+	// ListLag is how far the instance list lags behind.
+	ListLag time.Duration
+	// DrainDelay is how long a stopping entry instance goes on accepting.
+	DrainDelay time.Duration
+	// EngineArgs are further arguments of each engine stand-in.
+	EngineArgs []string
+	// AutomaticRoles lets the system change the roles of engines.
+	AutomaticRoles bool
+}
+
+// Today returns the size at which each user runs the system today.
+func Today(bin, dir string) Options {
+	return Options{
+		Bin: bin, Dir: dir,
+		Regions: 3, EntriesPerRegion: 3, EnginesPerRegion: 3, ServicesPerRegion: 1,
+		ListLag: 2 * time.Second, DrainDelay: 2 * time.Second,
+		EngineArgs: []string{"-models", ModelName + "@" + ModelVersion, "-prefill-rate", "80000", "-step", "10ms"},
+	}
+}
--- a/member/options.go
+++ b/member/options.go
@@ -80,6 +80,8 @@
 	Encoded func() (version int64, document []byte)
 	// Offer hands over a document of a higher version that a peer had.
 	Offer func(ctx context.Context, version int64, document []byte) error
+	// Planned takes the time until which an upstream gets no new work because of a planned change; it may be nil.
+	Planned func(now time.Time, upstream string, until time.Time)
 	// Suspicion takes a suspicion that another instance reported.
 	Suspicion func(*peerpb.Suspicion)
 	Logger    *slog.Logger
@@ -96,6 +98,9 @@
 	if o.Offer == nil {
 		o.Offer = func(context.Context, int64, []byte) error { return nil }
 	}
+	if o.Planned == nil {
+		o.Planned = func(time.Time, string, time.Time) {}
+	}
 	if o.Suspicion == nil {
 		o.Suspicion = func(*peerpb.Suspicion) {}
 	}
--- a/member/receive.go
+++ b/member/receive.go
@@ -23,6 +23,12 @@
 			urgent.Leaving = append(urgent.Leaving, l)
 		}
 	}
+	for _, p := range r.GetPlanned() {
+		if s.accept(from, plannedEntry(p), now) {
+			s.applyPlanned(p, now)
+			urgent.Planned = append(urgent.Planned, p)
+		}
+	}
 	for _, l := range r.GetLoads() {
 		s.stats.loads.Inc(1)
 		if s.accept(from, loadEntry(l), now) {
--- a/member/table.go
+++ b/member/table.go
@@ -14,6 +14,7 @@
 
 const (
 	kindLeaving kind = iota
+	kindPlanned
 	kindSuspicion
 	kindMember
 	kindZone
@@ -94,6 +95,10 @@
 	return entry{key: key{kindLeaving, l.GetUpstream()}, seq: l.GetSeq(), origin: l.GetOrigin(), msg: l}
 }
 
+func plannedEntry(p *peerpb.UpstreamPlanned) entry {
+	return entry{key: key{kindPlanned, p.GetUpstream()}, seq: p.GetSeq(), origin: p.GetOrigin(), msg: p}
+}
+
 func zoneEntry(z *peerpb.ZoneSummary) entry {
 	return entry{key: key{kindZone, z.GetRegion() + "/" + z.GetZone()}, seq: z.GetSeq(), origin: z.GetOrigin(), msg: z}
 }
@@ -112,6 +117,8 @@
 		r.Loads = append(r.Loads, m)
 	case *peerpb.UpstreamLeaving:
 		r.Leaving = append(r.Leaving, m)
+	case *peerpb.UpstreamPlanned:
+		r.Planned = append(r.Planned, m)
 	case *peerpb.ZoneSummary:
 		r.Zones = append(r.Zones, m)
 	case *peerpb.Suspicion:
