Name a gate only after it has answered; test slow calls at the gate

A candidate that was paused when it was named suspended the engine until its process ended (flaky TestPausedHolderHasNoEffect: the new holder named the paused old one). The fuzzing test also delays single calls from a gate, and fails when an order takes effect after Apply said that it would not.

--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -91,7 +92,11 @@
 		first.kill()
 		time.Sleep(15 * time.Second)
 		second := w.current()
-		g.Expect(errors.Is(w.order(second, engineID, "early"), ErrBusy)).To(gomega.BeTrue())
+		for i := range 4 {
+			err := w.order(second, engineID, fmt.Sprintf("early %d", i))
+			g.Expect(errors.Is(err, ErrBusy)).To(gomega.BeTrue())
+			time.Sleep(time.Second)
+		}
 		g.Expect(w.engines[engineID].ran()).To(gomega.Equal([]string{"before"}))
 		time.Sleep(time.Minute)
 		g.Expect(w.insist(second, engineID, "new")).To(gomega.Succeed())
--- a/authority/engine_test.go
+++ b/authority/engine_test.go
@@ -64,6 +64,8 @@
 		e.world.fault("%s arrived while %s was in progress", o.ID, e.changing)
 	case o.Fence < e.newest:
 		e.world.fault("%s of fence %d took effect after fence %d", o.ID, o.Fence, e.newest)
+	case e.world.hasFailed(o.ID) != nil:
+		e.world.fault("%s took effect after Apply returned %v", o.ID, e.world.hasFailed(o.ID))
 	case !e.world.wasChecked(p, o):
 		e.world.fault("%s took effect without a check that fence %d held", o.ID, o.Fence)
 	}
--- a/authority/fuzz_test.go
+++ b/authority/fuzz_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,7 +45,7 @@
 			After: rapid.OneOf(span(0, 20*time.Millisecond), span(0, 4*time.Second), span(0, 20*time.Second)).Draw(t, "after"),
 			Kind: rapid.SampledFrom([]string{
 				"order", "order", "order", "order", "order", "pause", "pause", "pause holder", "kill", "leave", "spawn",
-				"trap journal", "trap forward", "trap order", "trap order", "trap engine", "engine pause", "engine crash", "outage", "recover", "recover", "cut", "join", "join",
+				"trap journal", "trap forward", "trap order", "trap order", "trap slow", "trap slow", "trap engine", "engine pause", "engine crash", "outage", "recover", "recover", "cut", "join", "join",
 			}).Draw(t, "kind"),
 			Proc: rapid.IntRange(0, 9).Draw(t, "proc"), Other: rapid.IntRange(0, 9).Draw(t, "other"),
 			Engine: rapid.SampledFrom([]string{"checking", "plain"}).Draw(t, "engine"),
@@ -105,7 +106,7 @@
 		w.running.Go(p.leave)
 	case "spawn":
 		w.spawn()
-	case "trap journal", "trap forward", "trap order", "trap engine":
+	case "trap journal", "trap forward", "trap order", "trap slow", "trap engine":
 		w.setTrap(strings.TrimPrefix(a.Kind, "trap "), a.Lasts)
 	case "engine pause":
 		w.engines[a.Engine].pause(a.Lasts)
@@ -123,15 +124,21 @@
 	}
 }
 
-// setTrap pauses the process that makes the next call of a kind just before it is sent, or the engine that gets it.
+// setTrap pauses the process that makes the next call of a kind just before it is sent, or the engine that gets it, or
+// delays the call alone, as a slow link does.
 func (w *world) setTrap(kind string, lasts time.Duration) {
 	var once sync.Once
+	var slowed atomic.Bool
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.onCall = func(call string, p *proc, _ string) {
 		switch {
 		case call == kind:
 			once.Do(func() { p.pause(lasts) })
+		case call == "order" && kind == "slow":
+			if !slowed.Swap(true) {
+				time.Sleep(min(lasts, orderTimeout-5*time.Second))
+			}
 		case call == "order" && kind == "engine":
 			once.Do(func() {
 				for _, e := range w.engines {
--- a/authority/gates.go
+++ b/authority/gates.go
@@ -1,8 +1,10 @@
 package authority
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +21,8 @@
 const (
 	// registerTimeout bounds a RegisterFence call; the gate answers after registerWait at the latest.
 	registerTimeout = 4 * time.Second
+	// gateTries bounds the candidates that are asked to be a gate at one time.
+	gateTries = 3
 	// announceTimeout bounds the sending of a fencing number to an engine.
 	announceTimeout = 3 * time.Second
 	// forwardTimeout bounds a ForwardOrder call; the gate answers after its waits and orderTimeout.
@@ -60,9 +64,6 @@
 		if entry, err = h.replaceGate(ctx, t, entry); err != nil {
 			return entry, h.suspend(ctx, e.ID, err)
 		}
-		if err := h.register(ctx, t, e.ID, entry.Gate); err != nil {
-			return entry, h.suspend(ctx, e.ID, err)
-		}
 	}
 	t.setRegistered(e.ID, entry.Gate)
 	return entry, nil
@@ -112,12 +113,23 @@
 	return true
 }
 
-// replaceGate names another gate in the journal.
+// replaceGate names another gate in the journal. A candidate registers the number first, so that an instance that does
+// not answer is not named: it could be replaced only after its process has ended.
 func (h *Holder) replaceGate(ctx context.Context, t *term, entry journalEntry) (journalEntry, error) {
-	gate, err := h.chooseGate(ctx, entry.Engine, entry.Gate)
+	ids, err := h.gateCandidates(ctx, entry.Engine, entry.Gate)
 	if err != nil {
 		return entry, err
 	}
+	err = errors.New("authority: no other instance can be the gate")
+	for _, id := range ids {
+		if err = h.register(ctx, t, entry.Engine, id); err == nil {
+			return h.nameGate(ctx, t, entry, id)
+		}
+	}
+	return entry, err
+}
+
+func (h *Holder) nameGate(ctx context.Context, t *term, entry journalEntry, gate string) (journalEntry, error) {
 	if !t.valid() {
 		return entry, ErrNotHolder
 	}
@@ -132,31 +144,27 @@
 	return replaced, err
 }
 
-// chooseGate returns a live instance of the region other than this one and the old gate, by rendezvous hash. It must be in the instance
-// list, so that its later absence proves that its process has ended.
-func (h *Holder) chooseGate(ctx context.Context, engineID, old string) (string, error) {
+// gateCandidates returns some live instances of the region other than this one and the old gate, by rendezvous hash.
+// They must be in the instance list, so that a later absence proves that the process has ended.
+func (h *Holder) gateCandidates(ctx context.Context, engineID, old string) ([]string, error) {
 	listed, err := h.opts.Directory.Instances(ctx)
 	if err != nil {
-		return "", errors.Wrap(err, "authority: instance list")
+		return nil, errors.Wrap(err, "authority: instance list")
 	}
 	staying := make(map[string]bool)
 	for _, i := range listed {
 		staying[i.ID] = i.Kind == topo.KindEntry && !i.Leaving
 	}
-	best, bestScore := "", uint64(0)
+	var ids []string
 	for _, m := range h.opts.View.Live() {
 		id := m.GetId()
-		if id == h.opts.View.Self() || id == old || m.GetRegion() != h.opts.Region || m.GetLeaving() || !staying[id] {
-			continue
+		if id != h.opts.View.Self() && id != old && m.GetRegion() == h.opts.Region && !m.GetLeaving() && staying[id] {
+			ids = append(ids, id)
 		}
-		if score := xxhash.Sum64String(id + "/" + engineID); best == "" || score > bestScore {
-			best, bestScore = id, score
-		}
-	}
-	if best == "" {
-		return "", errors.New("authority: no other instance can be the gate")
 	}
-	return best, nil
+	score := func(id string) uint64 { return xxhash.Sum64String(id + "/" + engineID) }
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(score(b), score(a)) })
+	return ids[:min(len(ids), gateTries)], nil
 }
 
 // forward sends an order to an engine's gate. It returns whether the order was applied when the engine answered.
--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"rhubarbpoint/config"
@@ -33,6 +34,7 @@
 	procs   []*proc
 	cut     map[[2]string]bool
 	started map[string]time.Time // of each order
+	failed  map[string]error     // orders of which the holder was told that they will have no effect any more
 	faults  []string
 	// onCall, if set, is told of calls that are about to leave a process: an order to the gate, to an engine, or a write
 	// of the journal.
@@ -43,6 +45,7 @@
 	w := &world{
 		directory: memtopo.NewDirectory(5 * time.Second), ended: make(chan struct{}),
 		random: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, started: map[string]time.Time{},
+		failed: map[string]error{},
 	}
 	w.store = memtopo.New(memtopo.FaultFunc(w.storeFault))
 	w.engines = map[string]*fakeEngine{"checking": {world: w, checks: true}, "plain": {world: w}}
@@ -156,10 +159,23 @@
 func (w *world) order(p *proc, engineID, id string) error {
 	w.mu.Lock()
 	w.started[id] = time.Now()
+	delete(w.failed, id)
 	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	return p.holder.Apply(ctx, engineID, engine.Order{ID: id, Kind: engine.OrderRole, Role: engine.RoleDecode})
+	err := p.holder.Apply(ctx, engineID, engine.Order{ID: id, Kind: engine.OrderRole, Role: engine.RoleDecode})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil && !errors.Is(err, ErrUnresolved) && !p.isDead() {
+		w.failed[id] = err
+	}
+	return err
+}
+
+func (w *world) hasFailed(id string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed[id]
 }
 
 // current waits for a holder.
