--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"rhubarbpoint/engine"
+	"rhubarbpoint/peer/peerpb"
 )
 
 // inRegion runs a test in virtual time with instances that have elected a holder, for each kind of engine.
@@ -108,6 +109,33 @@
 	})
 }
 
+// Guards against a successor that goes on, or another order that is sent, while a gate's call to the engine is slow.
+func TestGateAnswersOnlyWithoutOrderInFlight(t *testing.T) {
+	inRegion(t, 3, func(g *gomega.WithT, w *world, engineID string) {
+		holder := w.current()
+		g.Expect(w.order(holder, engineID, "before")).To(gomega.Succeed())
+		var gate *Gate
+		w.mu.Lock()
+		w.onCall = func(kind string, p *proc, order string) {
+			if kind == "order" && order == "slow" {
+				gate = p.gate
+				time.Sleep(20 * time.Second)
+			}
+		}
+		w.mu.Unlock()
+		go w.order(holder, engineID, "slow")
+		time.Sleep(time.Second)
+		code := func(err error) string { return errorResponse(err).GetError().GetCode() }
+		g.Expect(code(gate.register(context.Background(), engineID, 1<<40))).To(gomega.Equal(codeBusy))
+		_, err := gate.forward(context.Background(), &peerpb.ForwardOrder{Engine: engineID, OrderId: "other", Fence: 1 << 40})
+		g.Expect(code(err)).To(gomega.Equal(codeBusy))
+		time.Sleep(20 * time.Second)
+		g.Expect(gate.register(context.Background(), engineID, 1<<40)).To(gomega.Succeed())
+		_, err = gate.forward(context.Background(), &peerpb.ForwardOrder{Engine: engineID, OrderId: "late", Fence: 1<<40 - 1})
+		g.Expect(code(err)).To(gomega.Equal(codeStaleFence))
+	})
+}
+
 // Guards against a holder that is its own gate: alone it gives no orders, and with a second instance it does.
 func TestHolderIsNeverTheGate(t *testing.T) {
 	inRegion(t, 1, func(g *gomega.WithT, w *world, engineID string) {
