--- a/claim/committer.go
+++ b/claim/committer.go
@@ -198,6 +198,7 @@
 	c.stats.writes.Inc(1)
 	c.stats.batch.Update(int64(len(ops)))
 	c.stats.bytes.Update(int64(len(value)))
+	c.stats.written.Inc(int64(len(value)))
 	revision, err := c.store.Put(ctx, name, value, s.revision, 0)
 	if err != nil {
 		c.countFailure(name, err)
--- a/claim/stats.go
+++ b/claim/stats.go
@@ -9,6 +9,7 @@
 type stats struct {
 	runs, sent, repeats, notRun, unknown, direct           metrics.Counter
 	reads, writes, conflicts, refusals, ambiguous, evicted metrics.Counter
+	written                                                metrics.Counter // bytes
 	batch, bytes                                           metrics.Histogram
 }
 
@@ -22,8 +23,8 @@
 		notRun: counter("not_run"), unknown: counter("unknown"), direct: counter("direct"),
 		reads: counter("store.reads"), writes: counter("store.writes"), conflicts: counter("store.conflicts"),
 		refusals: counter("store.refusals"), ambiguous: counter("store.ambiguous"),
-		evicted: counter("outcomes.evicted"),
-		batch:   histogram("store.batch_records"), bytes: histogram("store.slot_bytes"),
+		evicted: counter("outcomes.evicted"), written: counter("store.written_bytes"),
+		batch: histogram("store.batch_records"), bytes: histogram("store.slot_bytes"),
 	}
 }
 
