Send load records as deltas, and members only when they change

Cause of the full heartbeats: a member record carried the newest beat, ties of sequence numbers are decided by content, and so every member record was news with every beat (10.9 of 12.7 KB/s, counted by kind of record). The beat is now kept out of the stored record. Load records go as deltas of about 28 bytes instead of 90 to peers that have the base.

--- a/member/poller.go
+++ b/member/poller.go
@@ -131,8 +131,7 @@
 	now := time.Now()
 	load.Reporter = s.opts.ID
 	load.Seq = s.table.next(key{kindLoad, upstream})
-	s.table.merge(now, "", loadEntry(load))
-	s.opts.Sink.UpdateLoad(now, load)
+	s.mergeLoad("", load, now)
 	s.mu.Unlock()
 	if r.Draining {
 		s.UpstreamLeaving(upstream, load.GetEpochHash())
--- a/member/receive.go
+++ b/member/receive.go
@@ -24,12 +24,10 @@
 		}
 	}
 	for _, l := range r.GetLoads() {
-		s.stats.loads.Inc(1)
-		if s.accept(from, loadEntry(l), now) {
-			s.opts.Sink.UpdateLoad(now, l)
-		} else {
-			s.stats.loadsRepeated.Inc(1)
-		}
+		s.receiveLoad(from, l, now)
+	}
+	for _, d := range r.GetDeltas() {
+		s.receiveDelta(from, d, now)
 	}
 	for _, z := range r.GetZones() {
 		if s.accept(from, zoneEntry(z), now) && (z.GetZone() != s.opts.Zone || z.GetRegion() != s.opts.Region) {
@@ -56,6 +54,51 @@
 	return news
 }
 
+func (s *Service) receiveLoad(from string, l *peerpb.UpstreamLoad, now time.Time) {
+	s.stats.loads.Inc(1)
+	if !s.mergeLoad(from, l, now) {
+		s.stats.loadsRepeated.Inc(1)
+	}
+	if state, held := s.peers[from], s.table.entries[key{kindLoad, l.GetUpstream()}]; state != nil {
+		state.bases[l.GetUpstream()] = held.base
+	}
+}
+
+// receiveDelta applies a delta to the record held. A delta whose base is not known here is ignored: a full record
+// follows within fullLoadEvery.
+func (s *Service) receiveDelta(from string, d *peerpb.LoadDelta, now time.Time) {
+	held := s.table.entries[key{kindLoad, s.bases[d.GetBase()]}]
+	if held == nil || held.base != d.GetBase() {
+		return
+	}
+	load := applyDelta(held.msg.(*peerpb.UpstreamLoad), d)
+	if load == nil {
+		s.stats.loads.Inc(1)
+		s.stats.loadsRepeated.Inc(1)
+		if state := s.peers[from]; state != nil && len(d.GetValues()) > 0 && uint64(d.GetValues()[0]) == held.seq {
+			state.sent[held.key] = held.change
+		}
+		return
+	}
+	s.receiveLoad(from, load, now)
+}
+
+// mergeLoad takes a load record of a peer, or an own one with an empty source.
+func (s *Service) mergeLoad(from string, l *peerpb.UpstreamLoad, now time.Time) bool {
+	e := loadEntry(l)
+	e.base = baseOf(l)
+	old := s.table.entries[e.key]
+	if !s.accept(from, e, now) {
+		return false
+	}
+	if old != nil && old.base != e.base {
+		delete(s.bases, old.base)
+	}
+	s.bases[e.base] = l.GetUpstream()
+	s.opts.Sink.UpdateLoad(now, l)
+	return true
+}
+
 func (s *Service) receiveMember(from string, m *peerpb.Member, now time.Time, urgent *peerpb.Records) {
 	id := m.GetId()
 	if id == "" || id == s.opts.ID {
--- a/member/send.go
+++ b/member/send.go
@@ -93,17 +93,27 @@
 	budget := maxHeartbeatBytes - beatBytes*len(batch.Beats)
 	var sent []*entry
 	for _, e := range s.pending(id, state, now) {
-		if e.size+3 > budget {
+		msg, size := s.message(state, e)
+		if size > budget {
 			continue
 		}
-		budget -= e.size + 3 // field tag and length
-		s.stats.recordBytes.Inc(int64(e.size + 3))
-		add(batch, s.withBeat(e))
+		budget -= size
+		s.stats.recordBytes.Inc(int64(size))
+		add(batch, msg)
 		sent = append(sent, e)
 	}
 	return batch, sent
 }
 
+// message returns the form in which a record goes to a peer, and its size with tag and length.
+func (s *Service) message(state *peerState, e *entry) (proto.Message, int) {
+	if load, ok := e.msg.(*peerpb.UpstreamLoad); ok && e.seq%fullLoadEvery != 0 && state.bases[e.key.id] == e.base {
+		delta := deltaOf(load, e.base)
+		return delta, proto.Size(delta) + 2
+	}
+	return s.withBeat(e), e.size + 3
+}
+
 // pending returns the records that the peer lacks, the most urgent kind first and the newest first within a kind.
 func (s *Service) pending(id string, state *peerState, now time.Time) []*entry {
 	sameZone := s.sameZone(id)
@@ -171,6 +181,9 @@
 	for _, e := range sent {
 		state.sent[e.key] = max(state.sent[e.key], e.change)
 		delete(state.forced, e.key.id)
+		if e.key.kind == kindLoad {
+			state.bases[e.key.id] = e.base
+		}
 	}
 	for _, b := range batch.GetBeats() {
 		for _, id := range s.byHash[b&^0xff] {
--- a/member/service.go
+++ b/member/service.go
@@ -30,6 +30,7 @@
 	presences  map[string]*presence
 	byHash     map[uint32][]string
 	peers      map[string]*peerState
+	bases      map[uint32]string    // upstreams by the base of their load records
 	addresses  map[string]time.Time // of dropped members, with the time of dropping
 	directory  []string             // peer addresses of the instance list
 	random     randomPeers
@@ -54,6 +55,7 @@
 		opts: opts, stats: newStats(opts.Metrics), push: make(chan struct{}, maxPushes),
 		table: newTable(), presences: make(map[string]*presence), byHash: make(map[uint32][]string),
 		peers: make(map[string]*peerState), addresses: make(map[string]time.Time), pollers: make(map[string]*poller),
+		bases: make(map[uint32]string),
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	version, _ := opts.Encoded()
--- a/member/table.go
+++ b/member/table.go
@@ -35,6 +35,7 @@
 	change uint64 // local number of the change that brought the record
 	at     time.Time
 	source string // the peer that it came from
+	base   uint32 // of a load record
 }
 
 // table holds the newest record of each key. A record is newer if its sequence number is higher; ties, which occur
@@ -82,7 +83,11 @@
 	return data
 }
 
+// memberEntry keeps the beat out of the record: it is not part of its content, and a record whose content seems to
+// change with each beat would be news for ever.
 func memberEntry(m *peerpb.Member) entry {
+	m = proto.Clone(m).(*peerpb.Member)
+	m.Beat = 0
 	return entry{key: key{kindMember, m.GetId()}, seq: m.GetSeq(), origin: m.GetId(), msg: m}
 }
 
@@ -110,6 +115,8 @@
 		r.Members = append(r.Members, m)
 	case *peerpb.UpstreamLoad:
 		r.Loads = append(r.Loads, m)
+	case *peerpb.LoadDelta:
+		r.Deltas = append(r.Deltas, m)
 	case *peerpb.UpstreamLeaving:
 		r.Leaving = append(r.Leaving, m)
 	case *peerpb.ZoneSummary:
