--- a/member/poller.go
+++ b/member/poller.go
@@ -92,7 +92,7 @@
 // KV cache, 100 kB for each token and 4,000 tokens for each piece, a zone's events would be some 18 kB/s to every one
 // of its instances, more than the whole allowance.
 func (s *Service) poll(ctx context.Context, e config.Engine) {
-	after, epoch := uint64(0), ""
+	after, epoch, seq := uint64(0), "", uint64(0)
 	wait := rand.N(pollInterval)
 	for {
 		select {
@@ -105,7 +105,7 @@
 		call, cancel := context.WithTimeout(ctx, pollTimeout)
 		report, err := s.opts.Engines.Load(call, e.Address)
 		if err == nil {
-			s.report(e.ID, report)
+			seq = s.report(e.ID, report, seq)
 			if events, err := s.opts.Engines.CacheEvents(call, e.Address, after); err == nil {
 				if events.Epoch != epoch {
 					epoch, after = events.Epoch, 0
@@ -120,20 +120,27 @@
 	}
 }
 
-// report publishes a load report of this instance's own.
-func (s *Service) report(upstream string, r *engine.LoadReport) {
+// report takes a load report of this instance's own and publishes it if it is news. It returns the sequence number of
+// the record, above that of the last one.
+func (s *Service) report(upstream string, r *engine.LoadReport, last uint64) uint64 {
 	doc := s.opts.Document()
 	if doc == nil || r == nil {
-		return
+		return last
 	}
 	load := condense(upstream, r, modelIndexes(doc))
 	s.mu.Lock()
 	now := time.Now()
 	load.Reporter = s.opts.ID
-	load.Seq = s.table.next(key{kindLoad, upstream})
-	s.mergeLoad("", load, now)
+	load.Seq = max(s.table.next(key{kindLoad, upstream}), last+1)
+	held := s.table.entries[key{kindLoad, upstream}]
+	if held == nil || now.Sub(held.at) >= unchangedRefresh || material(held.msg.(*peerpb.UpstreamLoad), load) {
+		s.mergeLoad("", load, now)
+	} else {
+		s.opts.Sink.UpdateLoad(now, load)
+	}
 	s.mu.Unlock()
 	if r.Draining {
 		s.UpstreamLeaving(upstream, load.GetEpochHash())
 	}
+	return load.GetSeq()
 }
