--- a/member/receive.go
+++ b/member/receive.go
@@ -8,12 +8,13 @@
 	"rhubarbpoint/peer/peerpb"
 )
 
-// receive takes the records of a peer and returns those that must be pushed on.
-func (s *Service) receive(from string, r *peerpb.Records) *peerpb.Records {
+// receive takes the records of a peer and returns those that must be pushed on and the bases of deltas that could not
+// be applied.
+func (s *Service) receive(from string, r *peerpb.Records) (urgent *peerpb.Records, lacking []uint32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	urgent := &peerpb.Records{}
+	urgent = &peerpb.Records{}
 	for _, m := range r.GetMembers() {
 		s.receiveMember(from, m, now, urgent)
 	}
@@ -30,11 +31,11 @@
 		}
 	}
 	for _, l := range r.GetLoads() {
-		s.stats.loads.Inc(1)
-		if s.accept(from, loadEntry(l), now) {
-			s.opts.Sink.UpdateLoad(now, l)
-		} else {
-			s.stats.loadsRepeated.Inc(1)
+		s.receiveLoad(from, l, now)
+	}
+	for _, d := range r.GetDeltas() {
+		if !s.receiveDelta(from, d, now) && len(lacking) < maxLacking {
+			lacking = append(lacking, d.GetBase())
 		}
 	}
 	for _, z := range r.GetZones() {
@@ -48,7 +49,7 @@
 			urgent.Suspicions = append(urgent.Suspicions, x)
 		}
 	}
-	return urgent
+	return urgent, lacking
 }
 
 // accept merges a record. A record that the peer has, whether new here or not, is not sent back to it.
@@ -62,6 +63,51 @@
 	return news
 }
 
+func (s *Service) receiveLoad(from string, l *peerpb.UpstreamLoad, now time.Time) {
+	s.stats.loads.Inc(1)
+	if !s.mergeLoad(from, l, now) {
+		s.stats.loadsRepeated.Inc(1)
+	}
+	if state, held := s.peers[from], s.table.entries[key{kindLoad, l.GetUpstream()}]; state != nil {
+		state.bases[l.GetUpstream()] = held.base
+	}
+}
+
+// receiveDelta applies a delta to the record held and reports whether its base is known here.
+func (s *Service) receiveDelta(from string, d *peerpb.LoadDelta, now time.Time) bool {
+	held := s.table.entries[key{kindLoad, s.bases[d.GetBase()]}]
+	if held == nil || held.base != d.GetBase() {
+		return false
+	}
+	load := applyDelta(held.msg.(*peerpb.UpstreamLoad), d)
+	if load == nil {
+		s.stats.loads.Inc(1)
+		s.stats.loadsRepeated.Inc(1)
+		if state := s.peers[from]; state != nil && len(d.GetValues()) > 0 && uint64(d.GetValues()[0]) == held.seq {
+			state.sent[held.key] = held.change
+		}
+		return true
+	}
+	s.receiveLoad(from, load, now)
+	return true
+}
+
+// mergeLoad takes a load record of a peer, or an own one with an empty source.
+func (s *Service) mergeLoad(from string, l *peerpb.UpstreamLoad, now time.Time) bool {
+	e := loadEntry(l)
+	e.base = baseOf(l)
+	old := s.table.entries[e.key]
+	if !s.accept(from, e, now) {
+		return false
+	}
+	if old != nil && old.base != e.base {
+		delete(s.bases, old.base)
+	}
+	s.bases[e.base] = l.GetUpstream()
+	s.opts.Sink.UpdateLoad(now, l)
+	return true
+}
+
 func (s *Service) receiveMember(from string, m *peerpb.Member, now time.Time, urgent *peerpb.Records) {
 	id := m.GetId()
 	if id == "" || id == s.opts.ID {
@@ -115,9 +161,10 @@
 ) (*peerpb.Response, error) {
 	r := req.GetHeartbeat()
 	s.stats.heartbeatsIn.Inc(1)
-	s.forward(s.receive(from, r), from)
+	urgent, lacking := s.receive(from, r)
+	s.forward(urgent, from)
 	s.compareVersion(from, "", r.GetConfigVersion())
-	answer := &peerpb.Records{Want: s.receiveBeats(from, r.GetBeats())}
+	answer := &peerpb.Records{Want: s.receiveBeats(from, r.GetBeats()), Lacking: lacking}
 	s.mu.Lock()
 	if r.GetSync() {
 		answer = s.snapshot()
@@ -130,7 +177,8 @@
 
 func (s *Service) handlePush(_ context.Context, from string, req *peerpb.Request) (*peerpb.Response, error) {
 	s.stats.pushesIn.Inc(1)
-	s.forward(s.receive(from, req.GetPush()), from)
+	urgent, _ := s.receive(from, req.GetPush())
+	s.forward(urgent, from)
 	s.compareVersion(from, "", req.GetPush().GetConfigVersion())
 	return nil, nil
 }
