--- a/admit/fair.go
+++ b/admit/fair.go
@@ -32,6 +32,7 @@
 	capacity float64 // seconds of one engine for each second; 0 means unknown or none
 	outage   bool
 	ramp     time.Time // start of the ramp after an outage
+	ramping  share     // bucket of all workspaces during the ramp
 	pressed  time.Time // last refusal as too late
 	shares   map[string]*share
 	total    share // all that was offered
@@ -50,7 +51,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if engines > 0 && f.outage {
-		f.ramp = now
+		f.ramp, f.ramping = now, share{}
 	}
 	f.outage = engines <= 0
 	f.capacity = max(engines, 0)
@@ -73,6 +74,9 @@
 		if !s.take(now, f.rate(now, s, limit), cost) {
 			return nil, ErrOverShare
 		}
+		if f.isRamping(now) && !f.ramping.take(now, limit, cost) {
+			return nil, ErrOverShare
+		}
 	} else {
 		s.filled = time.Time{}
 	}
@@ -103,8 +107,8 @@
 func (f *Fair) limit(now time.Time) (float64, bool) {
 	f.total.decay(now)
 	f.admitted.decay(now)
-	if since := now.Sub(f.ramp); !f.ramp.IsZero() && since < rampTime {
-		progress := since.Seconds() / rampTime.Seconds()
+	if f.isRamping(now) {
+		progress := now.Sub(f.ramp).Seconds() / rampTime.Seconds()
 		return f.capacity * (rampStart + (1-rampStart)*progress), true
 	}
 	if !f.pressed.IsZero() && now.Sub(f.pressed) < pressureTime {
@@ -117,6 +121,8 @@
 	return f.capacity, f.capacity > 0 && f.total.offered > f.capacity
 }
 
+func (f *Fair) isRamping(now time.Time) bool { return !f.ramp.IsZero() && now.Sub(f.ramp) < rampTime }
+
 // rate returns the workspace's part of the limit.
 func (f *Fair) rate(now time.Time, s *share, limit float64) float64 {
 	claimants := make([]claimant, 0, len(f.shares))
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,114 @@
+package bench
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/engine"
+)
+
+func shortTrace(seed uint64, load profile) *Trace {
+	const length = 120 * time.Second
+	return &Trace{
+		Name: "short", Length: length, Faults: normalFaults(), Requests: newGenerator(seed).generate(length, load),
+	}
+}
+
+// Guards against figures that differ between two runs of the same seed.
+func TestSameSeedSameResult(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, policy := range Policies() {
+		a := Run(shortTrace(3, shifting), policy, 3, EntriesPerRegion)
+		b := Run(shortTrace(3, shifting), policy, 3, EntriesPerRegion)
+		g.Expect(a).To(gomega.Equal(b), policy.Name)
+	}
+}
+
+// Guards against requests that are counted twice or not at all.
+func TestEachRequestEndsOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	trace := shortTrace(4, evenLoad)
+	trace.Faults.Withdrawn = []Withdrawal{{Engine: 1, From: 30 * time.Second, To: 60 * time.Second}}
+	for _, policy := range Policies() {
+		r := Run(trace, policy, 4, EntriesPerRegion)
+		ended := r.Good + r.LateFirst + r.LateGaps + r.Expired + r.Refused
+		if policy.routing == routeTable { // the queues of the others are not empty a minute after the trace
+			g.Expect(ended).To(gomega.Equal(r.Requests), policy.Name)
+		}
+		g.Expect(ended).To(gomega.BeNumerically("<=", r.Requests), policy.Name)
+	}
+}
+
+func evenLoad(int, time.Duration) rates { return evenMix }
+
+// Guards against a trace file that does not give the requests that were recorded.
+func TestTraceFileRoundTrip(t *testing.T) {
+	g := gomega.NewWithT(t)
+	trace := shortTrace(5, evenLoad)
+	var file bytes.Buffer
+	g.Expect(WriteTrace(&file, trace.Requests)).To(gomega.Succeed())
+	read, err := ReadTrace(&file)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(read).To(gomega.Equal(trace.Requests))
+}
+
+// Guards against bad trace lines that are read as something else.
+func TestBadTraceLines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	good := `{"at_ms":1,"workload":"w","workspace":"a","model":"m","region":"r1","prompt_tokens":5,"output_tokens":1,"deadline_ms":9}`
+	_, err := ReadTrace(strings.NewReader(good))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, change := range [][2]string{
+		{`"prompt_tokens":5`, `"prompt_tokens":0`}, {`"output_tokens":1`, `"output_tokens":0`},
+		{`"deadline_ms":9`, `"deadline_ms":0`}, {`"at_ms":1`, `"at_ms":-1`}, {`"region":"r1"`, `"region":""`},
+		{`"prompt_tokens":5`, `"prompt_tokens":5,"prefix":["1"]`}, {`{"at_ms"`, `{at_ms`},
+		{`"region":"r1"`, `"region":"nowhere"`},
+	} {
+		_, err := ReadTrace(strings.NewReader(strings.Replace(good, change[0], change[1], 1)))
+		g.Expect(err).To(gomega.HaveOccurred(), change[1])
+	}
+}
+
+// Guards against a dynamic programme that misses a better sequence, on a small case with a known answer.
+func TestBestPath(t *testing.T) {
+	g := gomega.NewWithT(t)
+	result := func(values ...int) *Result { return &Result{GoodBySlot: [][]int{values}} }
+	fixed := make([]*Result, len(regionStates))
+	for i := range fixed {
+		fixed[i] = result(0, 0, 0, 0, 0, 0)
+	}
+	ppd := slices.Index(regionStates, rolesOfRegion{prefillRole, prefillRole, decodeRole})
+	pdd := slices.Index(regionStates, rolesOfRegion{prefillRole, decodeRole, decodeRole})
+	fixed[ppd] = result(9, 9, 9, 1, 1, 1)
+	fixed[pdd] = result(1, 1, 1, 9, 9, 9)
+	away := []*Result{result(0, 0, 0, 0, 0, 0), result(0, 0, 0, 0, 0, 0), result(0, 0, 0, 0, 0, 0), result(2, 2, 2, 2, 2, 2)}
+	value, path := bestPath(fixed, away, 0, 1)
+	g.Expect(value).To(gomega.Equal(47.0)) // three slots of 9, one away at 2, two of 9
+	_, moves := schedule(path)
+	g.Expect(moves).To(gomega.HaveLen(1))
+	g.Expect(moves[0].from).To(gomega.Equal(prefillRole))
+	g.Expect(moves[0].to).To(gomega.Equal(decodeRole))
+}
+
+// Guards against an engine model that loses or doubles cache events when its role changes.
+func TestPieceCacheEvents(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newPieceCache(3)
+	c.store([]uint64{1, 2, 3, 4})
+	g.Expect(c.cached([]uint64{1, 2, 3, 4})).To(gomega.Equal(3)) // the end of the prefix is evicted first
+	c.reset(2)
+	live := map[uint64]bool{}
+	for _, e := range c.pending {
+		g.Expect(live[e.Piece]).To(gomega.Equal(e.Evicted))
+		live[e.Piece] = !e.Evicted
+	}
+	for piece, there := range live {
+		g.Expect(there).To(gomega.BeFalse(), "piece %d", piece)
+	}
+	g.Expect(engine.PieceTokens).To(gomega.Equal(4000))
+}
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -29,6 +29,15 @@
 // RegionName returns the name of a region in traces.
 func RegionName(region int) string { return fmt.Sprintf("r%d", region+1) }
 
+func knownRegion(name string) bool {
+	for i := range Regions {
+		if RegionName(i) == name {
+			return true
+		}
+	}
+	return false
+}
+
 func engineName(index int) string {
 	return fmt.Sprintf("%s-e%d", RegionName(index/EnginesPerRegion), index%EnginesPerRegion+1)
 }
--- a/internal/bench/request.go
+++ b/internal/bench/request.go
@@ -47,8 +47,10 @@
 		return errors.New("deadline_ms is not positive")
 	case len(r.Prefix) > r.PromptTokens/engine.PieceTokens:
 		return errors.Newf("prefix has more than one hash for each %d prompt tokens", engine.PieceTokens)
-	case r.Region == "" || r.Model == "" || r.Workspace == "":
-		return errors.New("region, model or workspace is empty")
+	case !knownRegion(r.Region):
+		return errors.Newf("region %q is not one of r1 to r%d", r.Region, Regions)
+	case r.Model == "" || r.Workspace == "":
+		return errors.New("model or workspace is empty")
 	}
 	if r.MaxTokens < r.OutputTokens {
 		r.MaxTokens = 16
--- /dev/null
+++ b/role/controller/controller_test.go
@@ -0,0 +1,178 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/engine"
+	"rhubarbpoint/role"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// fakeRegion is a region whose engines and planner the test controls.
+type fakeRegion struct {
+	view   View
+	change *role.Change
+	held   bool
+	fail   error
+	orders []*engine.Order
+	marked map[string]bool
+	ended  int
+}
+
+func (f *fakeRegion) Apply(_ context.Context, _ string, order *engine.Order) error {
+	f.orders = append(f.orders, order)
+	return f.fail
+}
+func (f *fakeRegion) Held() bool { return f.held }
+func (f *fakeRegion) Plan(*role.Input) *role.Change {
+	c := f.change
+	f.change = nil
+	return c
+}
+func (f *fakeRegion) Ended(time.Time, time.Duration) { f.ended++ }
+
+func newFake(roles ...engine.Role) (*fakeRegion, *Controller) {
+	f := &fakeRegion{held: true, marked: map[string]bool{}}
+	for i, r := range roles {
+		f.view.Engines = append(f.view.Engines, Engine{
+			Engine:   role.Engine{ID: fmt.Sprint(i), Role: r, Usable: true, Running: 3},
+			Reported: epoch, Models: []string{"m@1"}, Want: []string{"m@1"},
+		})
+	}
+	id := 0
+	c := New(Options{
+		Applier: f, Planner: f, View: func(time.Time) View { return f.view },
+		Mark: func(_ time.Time, engine string, until time.Time) {
+			f.marked[engine] = !until.IsZero()
+			for i := range f.view.Engines {
+				if f.view.Engines[i].ID == engine {
+					f.view.Engines[i].Usable = until.IsZero()
+				}
+			}
+		},
+		NewID:      func() string { id++; return fmt.Sprint(id) },
+		Automatic:  func() bool { return true },
+		Away:       func() time.Duration { return 5 * time.Second },
+		DrainLimit: func() time.Duration { return 120 * time.Second },
+		Adapters:   func(string) []string { return []string{"a"} },
+	})
+	return f, c
+}
+
+// at sets the reports to the given second and steps there.
+func (f *fakeRegion) at(c *Controller, second int) {
+	now := epoch.Add(time.Duration(second) * time.Second)
+	for i := range f.view.Engines {
+		f.view.Engines[i].Reported = now
+	}
+	c.Step(context.Background(), now)
+}
+
+func (f *fakeRegion) empty(i int) {
+	f.view.Engines[i].Running, f.view.Engines[i].Empty = 0, true
+}
+
+// Guards against an order to an engine that still runs or gets work.
+func TestDrainsBeforeOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, c := newFake(engine.RolePrefill, engine.RoleDecode, engine.RoleDecode)
+	f.change = &role.Change{EngineID: "1", From: engine.RoleDecode, To: engine.RolePrefill}
+	f.at(c, 1)
+	g.Expect(f.marked).To(gomega.Equal(map[string]bool{"1": true}))
+	f.at(c, 10)
+	g.Expect(f.orders).To(gomega.BeEmpty())
+	f.empty(1)
+	f.at(c, 11)
+	g.Expect(f.orders).To(gomega.HaveLen(1))
+	g.Expect(f.orders[0].Role).To(gomega.Equal(engine.RolePrefill))
+	f.at(c, 12)
+	g.Expect(f.marked["1"]).To(gomega.BeTrue())
+	f.view.Engines[1].Role = engine.RolePrefill
+	f.at(c, 17)
+	g.Expect(f.marked["1"]).To(gomega.BeFalse())
+	g.Expect(f.ended).To(gomega.Equal(1))
+	g.Expect(f.orders).To(gomega.HaveLen(1))
+}
+
+// Guards against an order on the first empty report, when other instances may still send to the engine.
+func TestWaitsUntilAllInstancesKnow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, c := newFake(engine.RolePrefill, engine.RoleDecode, engine.RoleDecode)
+	f.empty(1)
+	f.change = &role.Change{EngineID: "1", From: engine.RoleDecode, To: engine.RolePrefill}
+	f.at(c, 1)
+	f.at(c, 2)
+	g.Expect(f.orders).To(gomega.BeEmpty())
+	f.at(c, 3)
+	g.Expect(f.orders).To(gomega.HaveLen(1))
+}
+
+// Guards against orders without authority, and against an engine that stays excluded by a former holder.
+func TestLostAuthorityEndsChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, c := newFake(engine.RolePrefill, engine.RoleDecode, engine.RoleDecode)
+	f.change = &role.Change{EngineID: "1", From: engine.RoleDecode, To: engine.RolePrefill}
+	f.at(c, 1)
+	f.held = false
+	f.empty(1)
+	f.at(c, 5)
+	f.at(c, 6)
+	g.Expect(f.orders).To(gomega.BeEmpty())
+	g.Expect(f.marked["1"]).To(gomega.BeFalse())
+}
+
+// Guards against an engine that stays out of service because an order failed or it never became empty.
+func TestFailedChangeReturnsEngine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, c := newFake(engine.RolePrefill, engine.RoleDecode, engine.RoleDecode)
+	f.fail = errors.New("gate unreachable")
+	f.empty(1)
+	f.change = &role.Change{EngineID: "1", From: engine.RoleDecode, To: engine.RolePrefill}
+	f.at(c, 1)
+	f.at(c, 4)
+	g.Expect(f.marked["1"]).To(gomega.BeFalse())
+	f.change = &role.Change{EngineID: "2", From: engine.RoleDecode, To: engine.RolePrefill}
+	f.at(c, 5)
+	f.at(c, 126)
+	g.Expect(f.marked["2"]).To(gomega.BeFalse())
+}
+
+// Guards against a version change that takes two engines away at once or skips one, the last of its role included.
+func TestVersionChangeOneEngineAtATime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, c := newFake(engine.RolePrefill, engine.RoleDecode, engine.RoleDecode)
+	for i := range f.view.Engines {
+		f.view.Engines[i].Want = []string{"m@2"}
+		f.empty(i)
+	}
+	for second := 1; second < 60; second++ {
+		f.at(c, second)
+		away := 0
+		for i := range f.view.Engines {
+			if f.marked[f.view.Engines[i].ID] {
+				away++
+			}
+		}
+		g.Expect(away).To(gomega.BeNumerically("<=", 1))
+		if n := len(f.orders); n > 0 && n%3 == 0 { // load, adapter, unload
+			for i := range f.view.Engines {
+				if f.marked[f.view.Engines[i].ID] {
+					f.view.Engines[i].Models = []string{"m@2"}
+				}
+			}
+		}
+	}
+	for i := range f.view.Engines {
+		g.Expect(f.view.Engines[i].Models).To(gomega.Equal([]string{"m@2"}))
+	}
+	g.Expect(f.orders).To(gomega.HaveLen(9))
+	kinds := []engine.OrderKind{f.orders[0].Kind, f.orders[1].Kind, f.orders[2].Kind}
+	g.Expect(kinds).To(gomega.Equal([]engine.OrderKind{engine.OrderLoadModel, engine.OrderLoadAdapter, engine.OrderUnload}))
+}
--- a/role/loss.go
+++ b/role/loss.go
@@ -39,13 +39,13 @@
 
 // loss returns the work that the engines cannot do in time, in seconds of one engine for each second.
 func loss(n counts, c *Capacities, d Demand) float64 {
-	full := c.full()
-	if full.Prefill <= 0 || full.Decode <= 0 {
-		return 0
-	}
 	if n.prefills() == 0 || n.decodes() == 0 {
 		return uncovered
 	}
+	full := c.full()
+	if full.Prefill <= 0 || full.Decode <= 0 {
+		return 0 // no report yet of an engine that does this kind of work
+	}
 	m, p, q := c.role(mixed), c.role(prefill), c.role(decode)
 	best := math.Inf(1)
 	for i := 0; i <= mixedSplits; i++ {
--- /dev/null
+++ b/role/planner_test.go
@@ -0,0 +1,160 @@
+package role
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"rhubarbpoint/engine"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// region is a set of engines under a given demand, with changes that take effect at once.
+type region struct {
+	roles   []engine.Role
+	prefill float64 // prompt tokens/s
+	decode  float64 // answer tokens/s
+}
+
+func (r *region) input(now time.Time) *Input {
+	in := &Input{Now: now, Held: true}
+	var prefills, decodes float64
+	for _, role := range r.roles {
+		if role != engine.RoleDecode {
+			prefills++
+		}
+		if role != engine.RolePrefill {
+			decodes++
+		}
+	}
+	for i, role := range r.roles {
+		e := Engine{ID: fmt.Sprint(i), Role: role, Usable: true, Arrivals: 5, MaxRunning: 64, StepSeconds: 0.04}
+		switch role {
+		case engine.RolePrefill:
+			e.PrefillRate, e.MaxRunning = 20000, 0
+		case engine.RoleDecode:
+			e.PrefillRate, e.DecodeRate = 3000, 1200
+		default:
+			e.PrefillRate, e.DecodeRate = 10000, 400
+		}
+		if role != engine.RoleDecode {
+			e.PrefillPerArrival = r.prefill / prefills / e.Arrivals
+		}
+		if role != engine.RolePrefill {
+			e.DecodePerArrival = r.decode / decodes / e.Arrivals
+		}
+		in.Engines = append(in.Engines, e)
+	}
+	return in
+}
+
+func (r *region) apply(c *Change) {
+	for i := range r.roles {
+		if fmt.Sprint(i) == c.EngineID {
+			r.roles[i] = c.To
+		}
+	}
+}
+
+func policy(price float64) Policy { return Policy{Away: 5 * time.Second, Price: price} }
+
+// Guards against roles that go back and forth although the mix does not change.
+func TestNoFlappingOnConstantMix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &region{
+			roles:   []engine.Role{engine.RolePrefill, engine.RoleDecode, engine.RoleDecode},
+			prefill: rapid.Float64Range(0, 60000).Draw(t, "prefill"), decode: rapid.Float64Range(0, 4000).Draw(t, "decode"),
+		}
+		p := NewPlanner(policy(rapid.Float64Range(0, 60).Draw(t, "price")))
+		changes := 0
+		for second := range 900 {
+			now := epoch.Add(time.Duration(second) * time.Second)
+			if c := p.Plan(r.input(now)); c != nil {
+				changes++
+				r.apply(c)
+				p.Ended(now, 10*time.Second)
+			}
+		}
+		if changes > len(r.roles) {
+			t.Fatalf("%d changes, roles %v", changes, r.roles)
+		}
+	})
+}
+
+// Guards against a change that leaves a kind of work without an engine, while the authority is not held, or during
+// another change.
+func TestNeverTheLastEngineOfARole(t *testing.T) {
+	all := []engine.Role{engine.RoleMixed, engine.RolePrefill, engine.RoleDecode}
+	rapid.Check(t, func(t *rapid.T) {
+		r := &region{}
+		for range rapid.IntRange(1, 5).Draw(t, "engines") {
+			r.roles = append(r.roles, rapid.SampledFrom(all).Draw(t, "role"))
+		}
+		p := NewPlanner(policy(0))
+		for second := range 300 {
+			if second%60 == 0 {
+				r.prefill = rapid.Float64Range(0, 100000).Draw(t, "prefill")
+				r.decode = rapid.Float64Range(0, 10000).Draw(t, "decode")
+			}
+			now := epoch.Add(time.Duration(second) * time.Second)
+			in := r.input(now)
+			gone := rapid.IntRange(0, len(r.roles)).Draw(t, "gone")
+			if gone < len(r.roles) {
+				in.Engines[gone].Usable = false
+			}
+			in.Held, in.Changing = rapid.Bool().Draw(t, "held"), rapid.IntRange(0, 3).Draw(t, "changing") == 0
+			c := p.Plan(in)
+			if c == nil {
+				continue
+			}
+			if !in.Held || in.Changing {
+				t.Fatal("a change without authority or during another change")
+			}
+			before, rest := usable(in), usable(in)
+			rest[indexOf(c.From)]--
+			if before.prefills() > 0 && rest.prefills() == 0 || before.decodes() > 0 && rest.decodes() == 0 {
+				t.Fatalf("%v to %v with %v", c.From, c.To, before)
+			}
+			r.apply(c)
+			p.Ended(now, time.Second)
+		}
+	})
+}
+
+// Guards against a region that cannot repair itself after its last engine for decode was withdrawn.
+func TestLostKindOfWorkIsRestored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := &region{roles: []engine.Role{engine.RolePrefill, engine.RolePrefill}, prefill: 10000}
+	p := NewPlanner(policy(0))
+	var change *Change
+	for second := 0; second < 60 && change == nil; second++ {
+		change = p.Plan(r.input(epoch.Add(time.Duration(second) * time.Second)))
+	}
+	g.Expect(change).NotTo(gomega.BeNil())
+	g.Expect(change.To).NotTo(gomega.Equal(engine.RolePrefill))
+}
+
+// Guards against a price that does not delay a change, and against one that prevents it for ever.
+func TestPriceDelaysChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	firstChange := func(price float64) int {
+		r := &region{
+			roles:   []engine.Role{engine.RolePrefill, engine.RoleDecode, engine.RoleDecode},
+			prefill: 30000, decode: 500,
+		}
+		p := NewPlanner(policy(price))
+		for second := range 3600 {
+			if p.Plan(r.input(epoch.Add(time.Duration(second)*time.Second))) != nil {
+				return second
+			}
+		}
+		return 3600
+	}
+	cheap, dear := firstChange(0), firstChange(60)
+	g.Expect(cheap).To(gomega.BeNumerically("<", dear))
+	g.Expect(dear).To(gomega.BeNumerically("<", 3600))
+}
--- /dev/null
+++ b/route/table_test.go
@@ -0,0 +1,207 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"rhubarbpoint/config"
+	"rhubarbpoint/engine"
+	"rhubarbpoint/peer/peerpb"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func testDocument(engines ...string) *config.Document {
+	doc := &config.Document{}
+	for _, id := range engines {
+		doc.Models.Engines = append(doc.Models.Engines, config.Engine{ID: id, Address: id + ":1", Region: id[:2], Zone: id[:2]})
+	}
+	doc.Models.Models = []config.Model{{Name: "m", Version: "1"}}
+	return doc
+}
+
+func testTable(engines ...string) *Table {
+	t := NewTable(Options{Region: "r1", Zone: "r1", Seed: 1})
+	t.SetDocument(testDocument(engines...))
+	for _, id := range engines {
+		t.UpdateLoad(epoch, idle(id, epoch, engine.RoleMixed))
+	}
+	return t
+}
+
+func idle(id string, at time.Time, role engine.Role) *peerpb.UpstreamLoad {
+	return &peerpb.UpstreamLoad{
+		Upstream: id, AtUnixMilli: at.UnixMilli(), EpochHash: 1, Role: RoleNumber(role), PrefillTokensPerSecond: 20000,
+		MaxRunning: 32, Models: []uint32{0},
+	}
+}
+
+func testRequest(id string) *Request {
+	return &Request{ID: id, Model: "m", Version: "1", PromptTokens: 1000, MaxTokens: 16}
+}
+
+// Guards against new work for an engine that leaves, drains or is to be avoided, whatever came before.
+func TestLeavingEngineIsNeverChosen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := []string{"r1a", "r1b", "r1c", "r2a"}
+		table := testTable(engines...)
+		out := map[string]bool{}
+		now := epoch
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+			id := rapid.SampledFrom(engines).Draw(t, "engine")
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0:
+				table.SetLeaving(id, 1)
+				out[id] = true
+			case 1:
+				load := idle(id, now, engine.RoleMixed)
+				load.EpochHash = 1
+				load.Draining = true
+				table.UpdateLoad(now, load)
+				out[id] = true
+			case 2:
+				table.SetPlanned(now, id, now.Add(time.Hour))
+				out[id] = true
+			default:
+				req := testRequest(fmt.Sprint(i))
+				req.Avoid = map[string]bool{"r1b": rapid.Bool().Draw(t, "avoid")}
+				choice, err := table.Pick(now, req)
+				if err != nil || choice.Hold > 0 {
+					continue
+				}
+				for _, chosen := range []string{choice.EngineID, choice.PrefillID} {
+					if out[chosen] || req.Avoid[chosen] {
+						t.Fatalf("chose %s", chosen)
+					}
+				}
+				table.Sent(now, choice, req)
+			}
+		}
+	})
+}
+
+// Guards against an engine that stays excluded after it has started again.
+func TestNewEpochEndsLeaving(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := testTable("r1a")
+	table.SetLeaving("r1a", 1)
+	_, err := table.Pick(epoch, testRequest("1"))
+	g.Expect(err).To(gomega.MatchError(ErrNoEngine))
+	load := idle("r1a", epoch.Add(time.Second), engine.RoleMixed)
+	load.EpochHash = 2
+	table.UpdateLoad(epoch.Add(time.Second), load)
+	_, err = table.Pick(epoch.Add(time.Second), testRequest("2"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// Guards against an exclusion for a planned change that outlives the change or its holder.
+func TestPlannedExclusionEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := testTable("r1a", "r1b")
+	table.SetPlanned(epoch, "r1a", epoch.Add(20*time.Second))
+	g.Expect(table.Available(epoch)).To(gomega.Equal(1))
+	g.Expect(table.Available(epoch.Add(21 * time.Second))).To(gomega.Equal(2))
+	table.UpdateLoad(epoch.Add(9*time.Second), idle("r1a", epoch.Add(9*time.Second), engine.RoleDecode))
+	g.Expect(table.Available(epoch.Add(9 * time.Second))).To(gomega.Equal(2))
+}
+
+// Guards against the only engine left being refused because it failed once, and against Avoid being treated alike.
+func TestExcludeGivesWayButAvoidDoesNot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := testTable("r1a")
+	req := testRequest("1")
+	req.Exclude = map[string]bool{"r1a": true}
+	choice, err := table.Pick(epoch, req)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(choice.EngineID).To(gomega.Equal("r1a"))
+	req.Avoid = map[string]bool{"r1a": true}
+	_, err = table.Pick(epoch, req)
+	g.Expect(err).To(gomega.MatchError(ErrNoEngine))
+}
+
+// Guards against a long prompt going where nothing of it is cached while the engine that has it is free.
+func TestPrefixAffinity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := testTable("r1a", "r1b", "r1c")
+	req := testRequest("1")
+	req.PromptTokens, req.Pieces = 17000, []uint64{1, 2, 3, 4}
+	table.UpdateCache("r1b", &engine.CacheEvents{Epoch: "x", Last: 4, Lost: true, Events: []engine.CacheEvent{
+		{Seq: 1, Piece: 1}, {Seq: 4, Piece: 4}, // the events of pieces 2 and 3 are lost
+	}})
+	for range 20 {
+		choice, err := table.Pick(epoch, req)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(choice.Uncached).To(gomega.Equal(1000))
+		g.Expect([]string{choice.EngineID, choice.PrefillID}).To(gomega.ContainElement("r1b"))
+	}
+	table.UpdateCache("r1b", &engine.CacheEvents{Epoch: "x", Last: 5, Events: []engine.CacheEvent{
+		{Seq: 5, Piece: 2, Evicted: true},
+	}})
+	choice, err := table.Pick(epoch, req)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(choice.Uncached).To(gomega.BeNumerically(">=", 13000))
+}
+
+// Guards against work that leaves its region although it would be in time at home, and against none leaving when all
+// of it would be late.
+func TestWorkLeavesRegionOnlyWhenLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := testTable("r1a", "r2a")
+	choice, err := table.Pick(epoch, testRequest("1"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(choice.EngineID).To(gomega.Equal("r1a"))
+	busy := idle("r1a", epoch.Add(time.Second), engine.RoleMixed)
+	busy.WaitingTokens = 100000
+	table.UpdateLoad(epoch.Add(time.Second), busy)
+	choice, err = table.Pick(epoch.Add(time.Second), testRequest("2"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(choice.EngineID).To(gomega.Equal("r2a"))
+}
+
+// Guards against work that is started although it cannot finish in time.
+func TestTooLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := testTable("r1a")
+	req := testRequest("1")
+	req.Deadline = epoch.Add(time.Millisecond)
+	_, err := table.Pick(epoch, req)
+	g.Expect(err).To(gomega.MatchError(ErrTooLate))
+}
+
+// Guards against choices that cannot be replayed.
+func TestSameSeedSameChoices(t *testing.T) {
+	g := gomega.NewWithT(t)
+	run := func() (choices []string) {
+		table := testTable("r1a", "r1b", "r1c")
+		for i := range 200 {
+			now := epoch.Add(time.Duration(i) * 20 * time.Millisecond)
+			req := testRequest(fmt.Sprint(i))
+			choice, err := table.Pick(now, req)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			table.Sent(now, choice, req)
+			if i >= 10 {
+				old := testRequest(fmt.Sprint(i - 10))
+				table.Finished(now, Choice{EngineID: choices[i-10]}, old, Outcome{Tokens: 16})
+			}
+			choices = append(choices, choice.EngineID)
+		}
+		return choices
+	}
+	g.Expect(run()).To(gomega.Equal(run()))
+}
+
+// Guards against a step model that does not find the terms of the engine's speed from ordinary reports.
+func TestStepModelLearns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newStepModel(0.055, 32)
+	for i := range 300 {
+		n, busy := float64(5+i*7%50), float64(i%3)/2
+		m.observe(n, busy, 0.020+0.0005*n+0.006*busy)
+	}
+	g.Expect(m.predict(64, 1)).To(gomega.BeNumerically("~", 0.058, 0.002))
+}
