route: bound spills into other regions by the use of their batches

Cause: all instances saw the same late zone summary and sent to remote engines without regard to their batches, so that the steps there passed the target.

--- a/admit/fair_test.go
+++ b/admit/fair_test.go
@@ -65,7 +65,7 @@
 	weights := map[string]float64{"a": 3, "b": 1}
 	offerFor(f, epoch, 10*time.Second, rates, weights)
 	got := offerFor(f, epoch.Add(10*time.Second), 30*time.Second, rates, weights)
-	g.Expect(float64(got["a"])/float64(got["b"])).To(gomega.BeNumerically("~", 3, 0.3))
+	g.Expect(float64(got["a"]) / float64(got["b"])).To(gomega.BeNumerically("~", 3, 0.3))
 }
 
 // Guards against work that is admitted although it cannot finish in time.
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Defaults for engines that have not reported yet.
 const (
@@ -23,8 +26,9 @@
 	share float64 // own part of the arrivals, 0 to 1
 }
 
-// estimate returns the expected state; stay is the mean time of a request in the batch in seconds. It adds to the report what this instance has sent since and what the others are expected to have sent.
-func (u *upstream) estimate(now time.Time, modelRate, stay float64) estimate {
+// estimate returns the expected state; stay is the mean time of a request in the batch and
+// step the time between two tokens, in seconds. It adds to the report what this instance has sent since and what the others are expected to have sent.
+func (u *upstream) estimate(now time.Time, modelRate, stay, step float64) estimate {
 	e := estimate{rate: modelRate, maximum: defaultMaxRunning, share: 1}
 	if e.rate <= 0 {
 		e.rate = defaultPrefillRate
@@ -55,9 +59,9 @@
 	e.add(u.sentAfter(u.loadAt))
 	e.waiting = max(0, e.waiting-e.rate*age)
 	if u.load.Role != rolePrefill && others > 0 {
-		// The others' requests come and go: the reported batch empties in the mean time that a request stays.
-		leave := e.running * min(1, age/max(stay, age)) * others / (others + own)
-		e.running += others*age - leave
+		// The others' part of the batch moves towards the size at which as many requests come as go.
+		balance := (others + own) * u.decodes.or(0) * step
+		e.running += (balance - e.running) * (1 - math.Exp(-age/max(stay, step))) * others / (others + own)
 	}
 	e.running = max(0, e.running)
 	e.busy = min(1, (others+own)*u.prefills.or(0)/e.rate)
--- a/route/pick.go
+++ b/route/pick.go
@@ -21,6 +21,9 @@
 	defaultCostPerGB    = 1.0
 	// pairCandidates bounds the pairs of engines that are compared, so that a decision stays linear in the engines.
 	pairCandidates = 4
+	// remoteBatch is the use of the batches of another region up to which work is sent there. All other regions see the
+	// same late summary, and the region's own work has to find room.
+	remoteBatch = 0.6
 	// allowedGaps is the share of gaps between tokens that may be long: the target is a 95th percentile.
 	allowedGaps = 0.05
 	// holdTime is the time between two looks at a request that is held back; reports come about once a second.
@@ -77,7 +80,7 @@
 		local = t.options(now, req, true)
 	}
 	options := local
-	if best := bestOf(local); best == nil || best.first > t.target.first {
+	if best := bestOf(local); best == nil || best.first > t.target.first+holdDoubt {
 		options = t.withRemote(now, req, local)
 	}
 	if len(options) == 0 {
@@ -257,20 +260,20 @@
 	return min(float64(max(req.MaxTokens, 1)), t.length(req.MaxTokens).or(float64(max(req.MaxTokens, 1))))
 }
 
-// stepsAndStay returns the step model of the engine's role and the mean stay in its batch.
-func (t *Table) stepsAndStay(u *upstream) (*stepModel, float64) {
-	if u.load == nil {
-		steps := t.stepModel(roleMixed)
-		return steps, t.meanStay(steps, 0)
-	}
-	steps := t.stepModel(u.load.Role)
-	return steps, t.meanStay(steps, float64(u.load.Running))
+// batchTimes returns the step model of the engine's role, the mean stay in its batch and its step, in seconds.
+func (t *Table) batchTimes(u *upstream) (steps *stepModel, stay, step float64) {
+	role, running := uint32(roleMixed), 0.0
+	if u.load != nil {
+		role, running = u.load.Role, float64(u.load.Running)
+	}
+	steps = t.stepModel(role)
+	return steps, t.meanStay(steps, running), steps.predict(running, 0)
 }
 
 // place estimates the parts of the cost of one engine.
 func (t *Table) place(now time.Time, u *upstream, req *Request) place {
-	steps, stay := t.stepsAndStay(u)
-	p := place{u: u, state: u.estimate(now, t.models[req.Model].PrefillTokensPerSecond, stay)}
+	steps, stay, step := t.batchTimes(u)
+	p := place{u: u, state: u.estimate(now, t.models[req.Model].PrefillTokensPerSecond, stay, step)}
 	p.uncached = float64(u.uncached(now, req))
 	p.prefill = (p.state.waiting + p.uncached) / p.state.rate
 	n := p.state.running
@@ -421,7 +424,7 @@
 		return false
 	}
 	c := t.capacity(zone, req)
-	if c == nil || c.Engines == 0 || c.PrefillTokensPerSecond == 0 || c.Running >= c.MaxRunning {
+	if c == nil || c.Engines == 0 || c.PrefillTokensPerSecond == 0 || float64(c.Running) > remoteBatch*float64(c.MaxRunning) {
 		return false
 	}
 	share := 1 / float64(c.Engines)
--- a/route/state.go
+++ b/route/state.go
@@ -58,8 +58,8 @@
 }
 
 func (t *Table) engineState(now time.Time, u *upstream) EngineState {
-	_, stay := t.stepsAndStay(u)
-	e := u.estimate(now, 0, stay)
+	_, stay, step := t.batchTimes(u)
+	e := u.estimate(now, 0, stay, step)
 	s := EngineState{
 		ID: u.cfg.ID, Region: u.cfg.Region, Local: u.local,
 		Available: u.available(now), Leaving: u.leaving, Planned: now.Before(u.plannedUntil),
