--- a/internal/bench/generate.go
+++ b/internal/bench/generate.go
@@ -27,7 +27,9 @@
 var (
 	gradeHeavy = rates{grade: 6.5, reply: 1.4}
 	replyHeavy = rates{grade: 1.2, reply: 5.6}
-	evenMix    = rates{grade: 4.0, reply: 3.4}
+	// replyOnly needs two engines for decode.
+	replyOnly = rates{grade: 0.8, reply: 7.5}
+	evenMix   = rates{grade: 4.0, reply: 3.4}
 )
 
 func blend(a, b rates, share float64) rates {
--- a/internal/bench/traces.go
+++ b/internal/bench/traces.go
@@ -20,6 +20,13 @@
 	return blend(gradeHeavy, replyHeavy, square(phase.Seconds(), shiftPeriod.Seconds(), shiftRamp.Seconds()))
 }
 
+// swinging goes between mixes that need one engine more for prefill or for decode, so that no fixed split suits both.
+func swinging(region int, at time.Duration) rates {
+	const period = 240 * time.Second
+	at += time.Duration(region) * 40 * time.Second
+	return blend(gradeHeavy, replyOnly, square((at%(2*period)).Seconds(), period.Seconds(), shiftRamp.Seconds()))
+}
+
 // square is a wave of period 2×half that goes from 0 to 1 at half and back at 2×half, each within ramp.
 func square(at, half, ramp float64) float64 {
 	if at < half {
@@ -63,6 +70,7 @@
 	}{
 		{"steady", steady, normalFaults()},
 		{"shift", shifting, normalFaults()},
+		{"swing", swinging, normalFaults()},
 		{"day", daily, normalFaults()},
 		{"bursts", bursting, normalFaults()},
 		{"withdrawn", lighter(shifting, 0.8), withdrawn},
--- a/route/pick.go
+++ b/route/pick.go
@@ -141,20 +141,19 @@
 // twoOfBest chooses at random among the two best options if their difference is within the doubt of the estimates, so
 // that instances with the same late reports do not all choose the same engine.
 func (t *Table) twoOfBest(options []option) *option {
-	slices.SortStableFunc(options, func(a, b option) int {
+	best, second := 0, -1
+	for i := 1; i < len(options); i++ {
 		switch {
-		case a.score < b.score:
-			return -1
-		case a.score > b.score:
-			return 1
+		case options[i].score < options[best].score:
+			best, second = i, best
+		case second < 0 || options[i].score < options[second].score:
+			second = i
 		}
-		return 0
-	})
-	best := &options[0]
-	if len(options) > 1 && equal(best, &options[1]) && t.random.IntN(2) == 1 {
-		return &options[1]
 	}
-	return best
+	if second >= 0 && equal(&options[best], &options[second]) && t.random.IntN(2) == 1 {
+		return &options[second]
+	}
+	return &options[best]
 }
 
 // equal says whether two options are equally good as far as the estimates can tell. An option that finds more of the
@@ -193,19 +192,23 @@
 	if u.load == nil {
 		return len(u.cfg.Models) == 0 || slices.Contains(u.cfg.Models, req.Model)
 	}
-	want := req.Model + "@" + req.Version
 	for _, index := range u.load.Models {
-		if int(index) < len(t.versions) && t.versions[index] == want {
+		if int(index) < len(t.versions) && isVersion(t.versions[index], req) {
 			return true
 		}
 	}
 	return false
 }
 
+// isVersion says whether name@version names the request's model, without building a string.
+func isVersion(name string, req *Request) bool {
+	n := len(req.Model)
+	return len(name) == n+1+len(req.Version) && name[:n] == req.Model && name[n] == '@' && name[n+1:] == req.Version
+}
+
 // options lists the ways to run the request within the region.
 func (t *Table) options(now time.Time, req *Request, lastResort bool) []option {
-	var whole, prefill, decode []place
-	var fallback []place
+	whole, prefill, decode, fallback := t.scratch.whole[:0], t.scratch.prefill[:0], t.scratch.decode[:0], t.scratch.fallback[:0]
 	for _, u := range t.engines {
 		if !u.local || !t.usable(now, u, req, lastResort) {
 			continue
@@ -220,10 +223,11 @@
 			whole, decode = append(whole, p), append(decode, p)
 		}
 	}
+	t.scratch.whole, t.scratch.prefill, t.scratch.decode, t.scratch.fallback = whole, prefill, decode, fallback
 	if len(whole) == 0 {
 		whole = fallback
 	}
-	var options []option
+	options := t.scratch.options[:0]
 	for i := range whole {
 		options = append(options, t.wholeOption(req, &whole[i], localLatency))
 	}
@@ -236,23 +240,25 @@
 			}
 		}
 	}
+	t.scratch.options = options
 	return options
 }
 
+// keepBest moves the cheapest places to the front and cuts off the rest.
 func keepBest(places *[]place, cost func(*place) float64) {
 	list := *places
 	if len(list) <= pairCandidates {
 		return
 	}
-	slices.SortStableFunc(list, func(a, b place) int {
-		if cost(&a) < cost(&b) {
-			return -1
-		}
-		if cost(&a) > cost(&b) {
-			return 1
+	for i := range pairCandidates {
+		best, least := i, cost(&list[i])
+		for j := i + 1; j < len(list); j++ {
+			if c := cost(&list[j]); c < least {
+				best, least = j, c
+			}
 		}
-		return 0
-	})
+		list[i], list[best] = list[best], list[i]
+	}
 	*places = list[:pairCandidates]
 }
 
@@ -435,9 +441,8 @@
 }
 
 func (t *Table) capacity(zone *peerpb.ZoneSummary, req *Request) *peerpb.ModelCapacity {
-	want := req.Model + "@" + req.Version
 	for _, c := range zone.Models {
-		if int(c.Model) < len(t.versions) && t.versions[c.Model] == want {
+		if int(c.Model) < len(t.versions) && isVersion(t.versions[c.Model], req) {
 			return c
 		}
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -42,6 +42,11 @@
 	squares mean
 	unmet   unmet
 	target  targets
+	// scratch is the memory of one decision, kept because a region can have hundreds of engines.
+	scratch struct {
+		whole, prefill, decode, fallback []place
+		options                          []option
+	}
 }
 
 var (
