--- a/route/pick.go
+++ b/route/pick.go
@@ -90,17 +90,20 @@
 	chosen := t.twoOfBest(options)
 	if !req.Deadline.IsZero() && now.Add(seconds(chosen.finish)).After(req.Deadline) {
 		if best := earliest(options); now.Add(seconds(best.finish)).After(req.Deadline) {
-			t.unmet.add(now, chosen.todo, t.answerLength(req))
+			t.miss(now, best, req)
 			return Choice{}, ErrTooLate
 		} else {
 			chosen = best
 		}
 	}
 	if t.holdBack(now, chosen, req) {
+		t.miss(now, chosen, req)
 		return Choice{Hold: holdTime, FirstToken: seconds(chosen.first), Finish: seconds(chosen.finish), Cost: chosen.cost}, nil
 	}
 	if !chosen.decode.local {
-		t.unmet.add(now, chosen.todo, t.answerLength(req))
+		if best := bestOf(local); best != nil {
+			t.miss(now, best, req)
+		}
 	}
 	return chosen.choice(), nil
 }
@@ -112,6 +115,18 @@
 	return req.Arrived
 }
 
+// miss counts a request that finds no room as unmet demand for the kind of work that lacks room: the answer if the batch
+// is full, else the prompt. A request that is held back counts once.
+func (t *Table) miss(now time.Time, o *option, req *Request) {
+	switch {
+	case now.Sub(arrival(now, req)) >= holdTime:
+	case o.crowded || o.slow:
+		t.unmet.add(now, 0, t.answerLength(req))
+	default:
+		t.unmet.add(now, o.todo, 0)
+	}
+}
+
 // holdBack says whether a request should wait here. One that misses the target for the first token anyway, or would
 // make a full batch too slow, would only make others late too; it runs when there is room.
 func (t *Table) holdBack(now time.Time, o *option, req *Request) bool {
--- a/route/table.go
+++ b/route/table.go
@@ -40,7 +40,7 @@
 	// answers and squares are means of the answer length and of its square, for the time that requests stay in a batch.
 	answers mean
 	squares mean
-	unmet   unmet
+	unmet   unmet // tokens/s
 	target  targets
 	// scratch is the memory of one decision, kept because a region can have hundreds of engines.
 	scratch struct {
--- a/route/unmet.go
+++ b/route/unmet.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// unmet is the demand that was refused as too late or sent to another region, as decaying rates. The role planner counts it as demand, because an
+// unmet is the demand that was held back, refused as too late or sent to another region, as decaying rates. The role planner counts it as demand, because an
 // overloaded role would otherwise look just full.
 type unmet struct {
 	at      time.Time
