--- a/route/pick.go
+++ b/route/pick.go
@@ -21,6 +21,9 @@
 	defaultCostPerGB    = 1.0
 	// pairCandidates bounds the pairs of engines that are compared, so that a decision stays linear in the engines.
 	pairCandidates = 4
+	// remoteBatch is the use of the batches of another region up to which work is sent there. All other regions see the
+	// same late summary, and the region's own work has to find room.
+	remoteBatch = 0.6
 	// allowedGaps is the share of gaps between tokens that may be long: the target is a 95th percentile.
 	allowedGaps = 0.05
 	// holdTime is the time between two looks at a request that is held back; reports come about once a second.
@@ -77,7 +80,7 @@
 		local = t.options(now, req, true)
 	}
 	options := local
-	if best := bestOf(local); best == nil || best.first > t.target.first {
+	if best := bestOf(local); best == nil || best.first > t.target.first+holdDoubt {
 		options = t.withRemote(now, req, local)
 	}
 	if len(options) == 0 {
@@ -87,17 +90,20 @@
 	chosen := t.twoOfBest(options)
 	if !req.Deadline.IsZero() && now.Add(seconds(chosen.finish)).After(req.Deadline) {
 		if best := earliest(options); now.Add(seconds(best.finish)).After(req.Deadline) {
-			t.unmet.add(now, chosen.todo, t.answerLength(req))
+			t.miss(now, best, req)
 			return Choice{}, ErrTooLate
 		} else {
 			chosen = best
 		}
 	}
 	if t.holdBack(now, chosen, req) {
+		t.miss(now, chosen, req)
 		return Choice{Hold: holdTime, FirstToken: seconds(chosen.first), Finish: seconds(chosen.finish), Cost: chosen.cost}, nil
 	}
 	if !chosen.decode.local {
-		t.unmet.add(now, chosen.todo, t.answerLength(req))
+		if best := bestOf(local); best != nil {
+			t.miss(now, best, req)
+		}
 	}
 	return chosen.choice(), nil
 }
@@ -109,6 +115,18 @@
 	return req.Arrived
 }
 
+// miss counts a request that finds no room as unmet demand for the kind of work that lacks room: the answer if the batch
+// is full, else the prompt. A request that is held back counts once.
+func (t *Table) miss(now time.Time, o *option, req *Request) {
+	switch {
+	case now.Sub(arrival(now, req)) >= holdTime:
+	case o.crowded || o.slow:
+		t.unmet.add(now, 0, t.answerLength(req))
+	default:
+		t.unmet.add(now, o.todo, 0)
+	}
+}
+
 // holdBack says whether a request should wait here. One that misses the target for the first token anyway, or would
 // make a full batch too slow, would only make others late too; it runs when there is room.
 func (t *Table) holdBack(now time.Time, o *option, req *Request) bool {
@@ -138,20 +156,19 @@
 // twoOfBest chooses at random among the two best options if their difference is within the doubt of the estimates, so
 // that instances with the same late reports do not all choose the same engine.
 func (t *Table) twoOfBest(options []option) *option {
-	slices.SortStableFunc(options, func(a, b option) int {
+	best, second := 0, -1
+	for i := 1; i < len(options); i++ {
 		switch {
-		case a.score < b.score:
-			return -1
-		case a.score > b.score:
-			return 1
+		case options[i].score < options[best].score:
+			best, second = i, best
+		case second < 0 || options[i].score < options[second].score:
+			second = i
 		}
-		return 0
-	})
-	best := &options[0]
-	if len(options) > 1 && equal(best, &options[1]) && t.random.IntN(2) == 1 {
-		return &options[1]
 	}
-	return best
+	if second >= 0 && equal(&options[best], &options[second]) && t.random.IntN(2) == 1 {
+		return &options[second]
+	}
+	return &options[best]
 }
 
 // equal says whether two options are equally good as far as the estimates can tell. An option that finds more of the
@@ -190,19 +207,23 @@
 	if u.load == nil {
 		return len(u.cfg.Models) == 0 || slices.Contains(u.cfg.Models, req.Model)
 	}
-	want := req.Model + "@" + req.Version
 	for _, index := range u.load.Models {
-		if int(index) < len(t.versions) && t.versions[index] == want {
+		if int(index) < len(t.versions) && isVersion(t.versions[index], req) {
 			return true
 		}
 	}
 	return false
 }
 
+// isVersion says whether name@version names the request's model, without building a string.
+func isVersion(name string, req *Request) bool {
+	n := len(req.Model)
+	return len(name) == n+1+len(req.Version) && name[:n] == req.Model && name[n] == '@' && name[n+1:] == req.Version
+}
+
 // options lists the ways to run the request within the region.
 func (t *Table) options(now time.Time, req *Request, lastResort bool) []option {
-	var whole, prefill, decode []place
-	var fallback []place
+	whole, prefill, decode, fallback := t.scratch.whole[:0], t.scratch.prefill[:0], t.scratch.decode[:0], t.scratch.fallback[:0]
 	for _, u := range t.engines {
 		if !u.local || !t.usable(now, u, req, lastResort) {
 			continue
@@ -217,10 +238,11 @@
 			whole, decode = append(whole, p), append(decode, p)
 		}
 	}
+	t.scratch.whole, t.scratch.prefill, t.scratch.decode, t.scratch.fallback = whole, prefill, decode, fallback
 	if len(whole) == 0 {
 		whole = fallback
 	}
-	var options []option
+	options := t.scratch.options[:0]
 	for i := range whole {
 		options = append(options, t.wholeOption(req, &whole[i], localLatency))
 	}
@@ -233,23 +255,25 @@
 			}
 		}
 	}
+	t.scratch.options = options
 	return options
 }
 
+// keepBest moves the cheapest places to the front and cuts off the rest.
 func keepBest(places *[]place, cost func(*place) float64) {
 	list := *places
 	if len(list) <= pairCandidates {
 		return
 	}
-	slices.SortStableFunc(list, func(a, b place) int {
-		if cost(&a) < cost(&b) {
-			return -1
-		}
-		if cost(&a) > cost(&b) {
-			return 1
+	for i := range pairCandidates {
+		best, least := i, cost(&list[i])
+		for j := i + 1; j < len(list); j++ {
+			if c := cost(&list[j]); c < least {
+				best, least = j, c
+			}
 		}
-		return 0
-	})
+		list[i], list[best] = list[best], list[i]
+	}
 	*places = list[:pairCandidates]
 }
 
@@ -257,20 +281,20 @@
 	return min(float64(max(req.MaxTokens, 1)), t.length(req.MaxTokens).or(float64(max(req.MaxTokens, 1))))
 }
 
-// stepsAndStay returns the step model of the engine's role and the mean stay in its batch.
-func (t *Table) stepsAndStay(u *upstream) (*stepModel, float64) {
-	if u.load == nil {
-		steps := t.stepModel(roleMixed)
-		return steps, t.meanStay(steps, 0)
-	}
-	steps := t.stepModel(u.load.Role)
-	return steps, t.meanStay(steps, float64(u.load.Running))
+// batchTimes returns the step model of the engine's role, the mean stay in its batch and its step, in seconds.
+func (t *Table) batchTimes(u *upstream) (steps *stepModel, stay, step float64) {
+	role, running := uint32(roleMixed), 0.0
+	if u.load != nil {
+		role, running = u.load.Role, float64(u.load.Running)
+	}
+	steps = t.stepModel(role)
+	return steps, t.meanStay(steps, running), steps.predict(running, 0)
 }
 
 // place estimates the parts of the cost of one engine.
 func (t *Table) place(now time.Time, u *upstream, req *Request) place {
-	steps, stay := t.stepsAndStay(u)
-	p := place{u: u, state: u.estimate(now, t.models[req.Model].PrefillTokensPerSecond, stay)}
+	steps, stay, step := t.batchTimes(u)
+	p := place{u: u, state: u.estimate(now, t.models[req.Model].PrefillTokensPerSecond, stay, step)}
 	p.uncached = float64(u.uncached(now, req))
 	p.prefill = (p.state.waiting + p.uncached) / p.state.rate
 	n := p.state.running
@@ -421,7 +445,7 @@
 		return false
 	}
 	c := t.capacity(zone, req)
-	if c == nil || c.Engines == 0 || c.PrefillTokensPerSecond == 0 || c.Running >= c.MaxRunning {
+	if c == nil || c.Engines == 0 || c.PrefillTokensPerSecond == 0 || float64(c.Running) > remoteBatch*float64(c.MaxRunning) {
 		return false
 	}
 	share := 1 / float64(c.Engines)
@@ -432,9 +456,8 @@
 }
 
 func (t *Table) capacity(zone *peerpb.ZoneSummary, req *Request) *peerpb.ModelCapacity {
-	want := req.Model + "@" + req.Version
 	for _, c := range zone.Models {
-		if int(c.Model) < len(t.versions) && t.versions[c.Model] == want {
+		if int(c.Model) < len(t.versions) && isVersion(t.versions[c.Model], req) {
 			return c
 		}
 	}
