--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -114,17 +114,17 @@
 	inRegion(t, 3, func(g *gomega.WithT, w *world, engineID string) {
 		holder := w.current()
 		g.Expect(w.order(holder, engineID, "before")).To(gomega.Succeed())
-		var gate *Gate
+		entered := make(chan *Gate, 1)
 		w.mu.Lock()
 		w.onCall = func(kind string, p *proc, order string) {
 			if kind == "order" && order == "slow" {
-				gate = p.gate
+				entered <- p.gate
 				time.Sleep(20 * time.Second)
 			}
 		}
 		w.mu.Unlock()
 		go w.order(holder, engineID, "slow")
-		time.Sleep(time.Second)
+		gate := <-entered
 		code := func(err error) string { return errorResponse(err).GetError().GetCode() }
 		g.Expect(code(gate.register(context.Background(), engineID, 1<<40))).To(gomega.Equal(codeBusy))
 		_, err := gate.forward(context.Background(), &peerpb.ForwardOrder{Engine: engineID, OrderId: "other", Fence: 1 << 40})
