Bypass a writer that has stopped or has no store

A stopped writer answered 'unavailable' and was asked again until membership dropped it, and so was one that alone was cut off from the store. Now a record goes to the store directly after two such answers, and at once when the writer says that it stops.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -129,6 +129,21 @@
 	})
 }
 
+// Guards against orders that wait for a writer that has stopped or is cut off from the store.
+func TestUnusableWriterIsBypassed(t *testing.T) {
+	inWorld(t, func(g *gomega.WithT, w *world, _ string) {
+		random := rand.New(rand.NewPCG(4, 4))
+		cutOff := memtopo.New(memtopo.FaultFunc(func(topo.Op, string) memtopo.Fault { return memtopo.Fault{Refuse: true} }))
+		w.procs[0].claimer.Stop(within(time.Second))
+		w.procs[1].claimer = New(Options{Store: cutOff, View: w.procs[1], Peers: w.procs[1]})
+		for range 20 {
+			id := newKey(random, time.Now(), false)
+			_, err := w.procs[2].claimer.Run(within(10*time.Second), id, Fingerprint{}, answered(id, 0))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+	})
+}
+
 // Guards against a write that lands after its sender gave up: the claims of the later write must stand.
 func TestLateWriteIsFenced(t *testing.T) {
 	inWorld(t, func(g *gomega.WithT, w *world, id string) {
--- a/claim/handlers.go
+++ b/claim/handlers.go
@@ -20,7 +20,8 @@
 const maxOwnerBytes = 128
 
 // HandleClaim places a record for another instance. It is the peer.Handler of Claim calls. Its errors are messages in
-// the response: "expired", "slot_full", "unavailable" (the record may stand now or later) and "bad_record".
+// the response: "expired", "slot_full", "unavailable" and "stopping" (the record may stand now or later), and
+// "bad_record".
 func (c *Claimer) HandleClaim(ctx context.Context, _ string, req *peerpb.Request) (*peerpb.Response, error) {
 	record := req.GetClaim().GetRecord()
 	id, err := checkRecord(record)
@@ -37,6 +38,8 @@
 		return errorResponse(codeExpired, err), nil
 	case errors.Is(err, topo.ErrTooLarge):
 		return errorResponse(codeSlotFull, err), nil
+	case errors.Is(err, errStopped):
+		return errorResponse(codeStopping, err), nil
 	}
 	return errorResponse(codeUnavailable, err), nil
 }
--- a/claim/place.go
+++ b/claim/place.go
@@ -19,6 +19,9 @@
 	writerWait = 2 * time.Second
 	// writerTimeout bounds a call to the writer.
 	writerTimeout = 3 * time.Second
+	// writerRefusals is how often a writer may answer that the store is unavailable before a record is tried directly: the
+	// writer may be cut off from the store alone, but in an outage direct calls would only add load.
+	writerRefusals = 2
 	// directTime is how long a record is tried at the store directly before the writer is asked again.
 	directTime = 5 * time.Second
 )
@@ -29,6 +32,7 @@
 	codeSlotFull    = "slot_full"
 	codeUnavailable = "unavailable"
 	codeBadRecord   = "bad_record"
+	codeStopping    = "stopping"
 )
 
 // writer returns the live instance that writes a partition, by rendezvous hash.
@@ -50,12 +54,16 @@
 // for the key. It tries until the context ends. The same record may be placed more than once, which changes nothing. It
 // returns errExpired, topo.ErrTooLarge, or an error after which the record may stand in the store now or later.
 func (c *Claimer) place(ctx context.Context, id key, record *peerpb.ClaimRecord) (*peerpb.ClaimRecord, error) {
-	for {
+	for refusals := 0; ; {
 		writer := c.writer(id.partition())
 		if writer == c.opts.View.Self() {
 			return c.committer.submit(ctx, id, record)
 		}
-		standing, err := c.placeThrough(ctx, writer, id, record)
+		standing, err := c.placeThrough(ctx, writer, id, record, refusals >= writerRefusals)
+		var remote *peer.RemoteError
+		if refusals++; !errors.As(err, &remote) {
+			refusals = 0
+		}
 		if err == nil || errors.Is(err, errExpired) || errors.Is(err, topo.ErrTooLarge) {
 			return standing, err
 		}
@@ -68,11 +76,11 @@
 	}
 }
 
-func (c *Claimer) placeThrough(ctx context.Context, writer string, id key, record *peerpb.ClaimRecord) (*peerpb.ClaimRecord, error) {
-	if !c.avoided.has(writer) {
+func (c *Claimer) placeThrough(ctx context.Context, writer string, id key, record *peerpb.ClaimRecord, direct bool) (*peerpb.ClaimRecord, error) {
+	if !direct && !c.avoided.has(writer) {
 		standing, err := c.callWriter(ctx, writer, record)
 		var remote *peer.RemoteError
-		if err == nil || ctx.Err() != nil || errors.As(err, &remote) {
+		if err == nil || ctx.Err() != nil || errors.As(err, &remote) && remote.Code != codeStopping {
 			return standing, remoteError(err, remote)
 		}
 		c.avoided.add(writer)
