--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -12,28 +12,28 @@
 
 // Result is what one instance costs on average, and how long news takes to reach all of them.
 type Result struct {
-	Shape         Shape
-	Live          int     // members seen by the instance that sees the fewest
-	BytesIn       float64 // per second, with the framing of yamux
-	BytesOut      float64
-	WorstBytes    float64 // received and sent, of the busiest instance
-	PacketsOut    float64 // writes per second
-	Calls         float64 // sent per second
-	RecordBytes   float64 // of records sent, per second
-	BeatBytes     float64
-	Repeated      float64 // share of received load records that were known
-	Polls         float64
-	LoadAge50     time.Duration // age of the load records in use
-	LoadAge99     time.Duration
-	Core          float64 // share of a processor
-	MemoryMB      float64 // heap and stacks in use after a collection
-	Sessions      float64
-	ListReads     float64 // of the whole fleet per second
-	ConfigSpread  time.Duration
-	ConfigBytes   float64 // received for one change
-	DocumentBytes int
-	LeavingSpread time.Duration
-	Missing       int // load records that instances lack
+	Shape                             Shape
+	Live                              int     // members seen by the instance that sees the fewest
+	BytesIn                           float64 // per second, with the framing of yamux
+	BytesOut                          float64
+	WorstBytes                        float64 // received and sent, of the busiest instance
+	PacketsOut                        float64 // writes per second
+	Calls                             float64 // sent per second
+	LoadBytes, MemberBytes, ZoneBytes float64 // of records sent, per second
+	BeatBytes                         float64
+	Repeated                          float64 // share of received load records that were known
+	Polls                             float64
+	LoadAge50                         time.Duration // age of the load records in use
+	LoadAge99                         time.Duration
+	Core                              float64 // share of a processor
+	MemoryMB                          float64 // heap and stacks in use after a collection
+	Sessions                          float64
+	ListReads                         float64 // of the whole fleet per second
+	ConfigSpread                      time.Duration
+	ConfigBytes                       float64 // received for one change
+	DocumentBytes                     int
+	LeavingSpread                     time.Duration
+	Missing                           int // load records that instances lack
 }
 
 // Run starts a fleet, waits for warm, measures for span and then times a configuration change and a leaving upstream.
@@ -74,7 +74,8 @@
 	}
 	r.BytesIn, r.BytesOut, r.PacketsOut = rate("peer.bytes_in"), rate("peer.bytes_out"), rate("peer.packets_out")
 	r.Calls, r.Polls = rate("peer.calls"), rate("member.polls")
-	r.RecordBytes, r.BeatBytes = rate("member.record_bytes"), rate("member.beat_bytes")
+	r.LoadBytes, r.MemberBytes = rate("member.record_bytes_load"), rate("member.record_bytes_member")
+	r.ZoneBytes, r.BeatBytes = rate("member.record_bytes_zone"), rate("member.beat_bytes")
 	if loads := rate("member.loads_received"); loads > 0 {
 		r.Repeated = rate("member.loads_repeated") / loads
 	}
@@ -188,14 +189,14 @@
 }
 
 // Header is the head of the table that String fills.
-const Header = "instances,engines,zones,live,in B/s,out B/s,worst in+out B/s,packets/s,calls/s,records B/s,beats B/s," +
+const Header = "instances,engines,zones,live,in B/s,out B/s,worst in+out B/s,packets/s,calls/s,loads B/s,members B/s,zones B/s,beats B/s," +
 	"repeated,polls/s,load age p50,load age p99,missing,core %,MB,sessions,list reads/s,config spread,config B,document B,leaving spread"
 
 // String returns one line of comma-separated values.
 func (r *Result) String() string {
-	return fmt.Sprintf("%d,%d,%d,%d,%.0f,%.0f,%.0f,%.1f,%.1f,%.0f,%.0f,%.2f,%.1f,%v,%v,%d,%.2f,%.2f,%.1f,%.1f,%v,%.0f,%d,%v",
+	return fmt.Sprintf("%d,%d,%d,%d,%.0f,%.0f,%.0f,%.1f,%.1f,%.0f,%.0f,%.0f,%.0f,%.2f,%.1f,%v,%v,%d,%.2f,%.2f,%.1f,%.1f,%v,%.0f,%d,%v",
 		r.Shape.Instances, r.Shape.Engines, r.Shape.Regions*r.Shape.ZonesPerRegion, r.Live, r.BytesIn, r.BytesOut,
-		r.WorstBytes, r.PacketsOut, r.Calls, r.RecordBytes, r.BeatBytes, r.Repeated, r.Polls,
+		r.WorstBytes, r.PacketsOut, r.Calls, r.LoadBytes, r.MemberBytes, r.ZoneBytes, r.BeatBytes, r.Repeated, r.Polls,
 		r.LoadAge50.Round(time.Millisecond), r.LoadAge99.Round(time.Millisecond), r.Missing, 100*r.Core, r.MemoryMB,
 		r.Sessions, r.ListReads, r.ConfigSpread.Round(time.Millisecond), r.ConfigBytes, r.DocumentBytes,
 		r.LeavingSpread.Round(time.Millisecond))
--- a/member/send.go
+++ b/member/send.go
@@ -105,7 +105,7 @@
 		if e.key.kind == kindLoad {
 			loads -= size
 		}
-		s.stats.recordBytes.Inc(int64(size))
+		s.stats.recordBytes[e.key.kind].Inc(int64(size))
 		add(batch, msg)
 		sent = append(sent, e)
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -18,8 +18,14 @@
 	kindMember
 	kindZone
 	kindLoad
+	kindCount
 )
 
+// String returns the name of the kind in metrics.
+func (k kind) String() string {
+	return [kindCount]string{"leaving", "suspicion", "member", "zone", "load"}[k]
+}
+
 type key struct {
 	kind kind
 	id   string
