--- a/member/options.go
+++ b/member/options.go
@@ -50,7 +50,7 @@
 	maxWant          = 16
 	maxLacking       = 64
 	fetchTimeout     = 4 * time.Second
-	summaryRefresh   = 5 * time.Second
+	summaryRefresh   = 4 * time.Second
 	ringPeersAllUpTo = 5
 )
 
--- a/member/summary.go
+++ b/member/summary.go
@@ -5,16 +5,15 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"rhubarbpoint/peer/peerpb"
 )
 
 // summaryAge is the age beyond which a load record says nothing about its upstream.
 const summaryAge = 10 * time.Second
 
-// summarise publishes the summary of the own zone when this instance is the one to do so: at each second in which it
-// changed, and otherwise every summaryRefresh. The lock is held.
+// summarise publishes the summary of the own zone when this instance is the one to do so: every summaryRefresh, and at
+// once when engines come, go or begin to leave. Sums over a zone change slowly, and each summary goes to every instance
+// of the fleet. The lock is held.
 func (s *Service) summarise(now time.Time) {
 	zone, _ := s.groups()
 	name := s.opts.Region + "/" + s.opts.Zone
@@ -26,7 +25,7 @@
 	if old := s.table.entries[k]; old != nil {
 		last := old.msg.(*peerpb.ZoneSummary)
 		summary.Seq, summary.Origin = last.GetSeq(), last.GetOrigin()
-		if proto.Equal(last, summary) && now.Sub(old.at) < summaryRefresh {
+		if now.Sub(old.at) < summaryRefresh && sameEngines(last.GetModels(), summary.GetModels()) {
 			return
 		}
 	} else if len(summary.Models) == 0 {
@@ -36,6 +35,12 @@
 	s.table.merge(now, "", zoneEntry(summary))
 }
 
+func sameEngines(a, b []*peerpb.ModelCapacity) bool {
+	return slices.EqualFunc(a, b, func(a, b *peerpb.ModelCapacity) bool {
+		return a.GetModel() == b.GetModel() && a.GetEngines() == b.GetEngines() && a.GetLeaving() == b.GetLeaving()
+	})
+}
+
 // capacities adds up the load records of the zone for each model.
 func (s *Service) capacities(now time.Time) []*peerpb.ModelCapacity {
 	models := make(map[uint32]*peerpb.ModelCapacity)
