Keep random peers for 30 s and unused sessions for 10 s

Each session costs keepalive packets, and each new random peer a dial and full load records. Load records count for the zone summary for 30 s, since an unchanged one is renewed only every 4 s and its age varied the counts of engines.

--- a/member/options.go
+++ b/member/options.go
@@ -32,7 +32,7 @@
 	// recordWindow is how long a record counts as news; later it has reached everybody or comes with a snapshot.
 	recordWindow = 10 * time.Second
 	// randomPeerTime is how long the randomly chosen peers are kept, so that not every heartbeat dials a session.
-	randomPeerTime    = 10 * time.Second
+	randomPeerTime    = 30 * time.Second
 	directoryInterval = 10 * time.Second
 	probeInterval     = 5 * time.Second
 	// probeMemory is how long the address of a dropped member is tried again: a region can be cut off for an hour.
--- a/member/summary.go
+++ b/member/summary.go
@@ -9,7 +9,7 @@
 )
 
 // summaryAge is the age beyond which a load record says nothing about its upstream.
-const summaryAge = 10 * time.Second
+const summaryAge = 30 * time.Second
 
 // summarise publishes the summary of the own zone when this instance is the one to do so: every summaryRefresh, and at
 // once when engines come, go or begin to leave. Sums over a zone change slowly, and each summary goes to every instance
--- a/peer/options.go
+++ b/peer/options.go
@@ -20,8 +20,8 @@
 	// frameTimeout bounds the reading of a request and the writing of an answer.
 	frameTimeout       = 5 * time.Second
 	streamCloseTimeout = 10 * time.Second
-	// idleTimeout is how long an unused session is kept. Each session costs about 50 bytes/s of keepalive.
-	idleTimeout     = 30 * time.Second
+	// idleTimeout is how long an unused session is kept. Each session costs two small packets a second of keepalive.
+	idleTimeout     = 10 * time.Second
 	janitorInterval = 5 * time.Second
 
 	maxSessions          = 1024
