role: no change to mixed in a region of three or more; price of the cheapest engine

Cause: a change to mixed had nearly the gain of one to a pure role in the loss model, but mixed engines beside pure ones served both kinds worse. The price was that of the emptiest engine, so it jumped when another one was emptier.

--- a/role/planner.go
+++ b/role/planner.go
@@ -118,12 +118,19 @@
 	}
 }
 
+// splitFrom is the number of engines from which no engine becomes mixed: each kind of work can have an engine of its own
+// and one is left to move between them. In replays a mixed engine beside them served both kinds of work worse.
+const splitFrom = 3
+
 // allowed says whether a change leaves each kind of work that some engine does with another engine, also while the
 // changed engine is away. A kind that no engine does any more, because the last one was withdrawn, does not bar it.
 func allowed(n counts, o option) bool {
 	if n[o.from] == 0 {
 		return false
 	}
+	if o.to == mixed && n[mixed]+n[prefill]+n[decode] >= splitFrom {
+		return false
+	}
 	before := n
 	n[o.from]--
 	return (n.prefills() > 0 || before.prefills() == 0) && (n.decodes() > 0 || before.decodes() == 0)
@@ -141,7 +148,7 @@
 func (p *Planner) price(in *Input, n counts, o option) float64 {
 	away := p.policy.Away.Seconds() + p.drained/2 // the engine works on half of its requests on average while it drains
 	warm := 0.0
-	if e := emptiest(in, roles[o.from]); e != nil && p.capacities.full().Prefill > 0 {
+	if e := p.cheapest(in, roles[o.from]); e != nil && p.capacities.full().Prefill > 0 {
 		warm = rewarmShare * e.CachedTokens / p.capacities.full().Prefill
 	}
 	return p.policy.Price + warm + disturbance*away*use(n, &p.capacities, p.demand, o.from)
@@ -166,7 +173,7 @@
 	if excess <= 0 {
 		return nil
 	}
-	e := emptiest(in, roles[chosen.from])
+	e := p.cheapest(in, roles[chosen.from])
 	if e == nil {
 		return nil
 	}
@@ -176,16 +183,21 @@
 	return &Change{EngineID: e.ID, From: roles[chosen.from], To: roles[chosen.to], Gain: gain}
 }
 
-// emptiest returns the usable engine of a role that will be empty first.
-func emptiest(in *Input, from engine.Role) *Engine {
+// cheapest returns the usable engine of a role with the least cache to lose and the fewest requests to finish.
+func (p *Planner) cheapest(in *Input, from engine.Role) *Engine {
 	var found *Engine
+	least := 0.0
 	for i := range in.Engines {
 		e := &in.Engines[i]
 		if !e.Usable || e.Role != from {
 			continue
 		}
-		if found == nil || e.Running+e.Waiting < found.Running+found.Waiting {
-			found = e
+		cost := (e.Running + e.Waiting) / max(e.MaxRunning, 1)
+		if rate := p.capacities.full().Prefill; rate > 0 {
+			cost += rewarmShare * e.CachedTokens / rate
+		}
+		if found == nil || cost < least {
+			found, least = e, cost
 		}
 	}
 	return found
