--- a/internal/bench/plot.go
+++ b/internal/bench/plot.go
@@ -30,13 +30,15 @@
 	return nil
 }
 
+// legendShare is the room for the legend at the right, relative to the width of the data.
+const legendShare = 0.17
+
 // bars draws one group of bars for each trace.
 func (r *Report) bars(file, title, unit string, value func(*Result) float64) error {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s, seed %d", title, r.Seed)
 	p.Y.Label.Text = unit
 	p.Legend.Top = true
-	p.Legend.XOffs = vg.Points(90)
 	rows := len(r.Traces[0].Rows)
 	width := vg.Points(7)
 	var names []string
@@ -62,6 +64,7 @@
 		p.Legend.Add(r.Traces[0].Rows[i].Policy, bars)
 	}
 	p.NominalX(names...)
+	p.X.Max += legendShare * float64(len(names))
 	return errors.Wrap(p.Save(vg.Points(float64(200+90*len(names))), vg.Points(360), file), "bench: plot")
 }
 
@@ -73,7 +76,6 @@
 	p.Y.Label.Text = "requests/s"
 	p.Y.Min = 0
 	p.Legend.Top = true
-	p.Legend.XOffs = vg.Points(90)
 	var lines []any
 	for _, row := range t.Rows {
 		switch row.Policy {
@@ -84,6 +86,7 @@
 	if err := plotutil.AddLines(p, lines...); err != nil {
 		return errors.Wrap(err, "bench: plot")
 	}
+	p.X.Max *= 1 + legendShare
 	return errors.Wrap(p.Save(vg.Points(900), vg.Points(320), file), "bench: plot")
 }
 
@@ -94,6 +97,9 @@
 		for region := range row.GoodBySlot {
 			sum += row.GoodBySlot[region][n]
 		}
+		if sum == 0 && len(points) == 0 {
+			continue // the warm-up is not counted
+		}
 		points = append(points, plotter.XY{X: float64(n) * slot.Seconds(), Y: float64(sum) / slot.Seconds()})
 	}
 	return points[:len(points)-1]
--- a/role/planner.go
+++ b/role/planner.go
@@ -136,8 +136,9 @@
 	return (n.prefills() > 0 || before.prefills() == 0) && (n.decodes() > 0 || before.decodes() == 0)
 }
 
-// rewarmShare is the part of an engine's prefix cache that other engines have to process again after a change.
-const rewarmShare = 0.8
+// rewarmShare is the part of an engine's prefix cache that has to be processed again after a change. It is above 1 since
+// the prefixes that move to other engines push some out of the caches there.
+const rewarmShare = 1.2
 
 // disturbance is how much work is lost for each second of work that the changed engine does not do. While it drains,
 // the rest of its role takes over all new work at once; replays lose about twice what the absence itself costs.
