--- /dev/null
+++ b/internal/fleet/main_test.go
@@ -0,0 +1,48 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/internal/fleet"
+)
+
+var bin string
+
+// TestMain builds the programs that the tests run as separate processes.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "rhubarbpoint-bin-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	bin = dir
+	build := exec.Command("go", "build", "-o", dir, "rhubarbpoint/cmd/rhubarbpoint", "rhubarbpoint/cmd/standin")
+	build.Stderr = os.Stderr
+	status := 1
+	if err := build.Run(); err == nil {
+		status = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// start runs a fleet of one region with three instances, three engines and one order service.
+func start(t *testing.T) (*gomega.WithT, *fleet.Fleet) {
+	g := gomega.NewWithT(t)
+	opts := fleet.Today(bin, t.TempDir())
+	opts.Regions = 1
+	f, err := fleet.Start(context.Background(), opts)
+	t.Cleanup(f.Stop)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return g, f
+}
+
+// long is how long a test waits for what must happen at some time; the promised times are checked in virtual time.
+const long = 60 * time.Second
