Find requests that crash engines

Each instance counts the crashes it has seen itself, so that records can be merged in any order: the sum is the number of crashes. A maximum was ruled out, since two instances can see one crash each at the same time. Suspicion gains the field engine, so that other instances know where a suspect runs and do not blame what runs beside it.

--- /dev/null
+++ b/suspect/fingerprint.go
@@ -0,0 +1,35 @@
+package suspect
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"rhubarbpoint/engine"
+)
+
+// Fingerprint identifies a request by what could crash an engine: caller, model and messages.
+type Fingerprint [16]byte
+
+// Of returns the fingerprint of a request.
+func Of(caller, model string, messages []engine.Message) Fingerprint {
+	digest := sha256.New()
+	add := func(text string) {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
+		digest.Write(size[:])
+		digest.Write([]byte(text))
+	}
+	add(caller)
+	add(model)
+	for _, m := range messages {
+		add(m.Role)
+		add(m.Content)
+	}
+	var f Fingerprint
+	copy(f[:], digest.Sum(nil))
+	return f
+}
+
+// String returns the fingerprint in hexadecimal digits.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- /dev/null
+++ b/suspect/merge.go
@@ -0,0 +1,71 @@
+package suspect
+
+import (
+	"time"
+
+	"rhubarbpoint/peer/peerpb"
+)
+
+// maxSkew bounds how far a peer's clock can be ahead, so that a wrong clock does not refuse a request for hours.
+const maxSkew = time.Minute
+
+// Merge takes a record of a peer. Records can come late, repeated and out of order.
+func (t *Table) Merge(now time.Time, s *peerpb.Suspicion) {
+	if len(s.GetFingerprint()) != len(Fingerprint{}) || s.Origin == "" || s.Origin == t.opts.Self {
+		return
+	}
+	f := Fingerprint(s.Fingerprint)
+	at := min(s.AtUnixMilli, now.Add(maxSkew).UnixMilli())
+	if now.UnixMilli() >= at+refuseFor.Milliseconds() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.crashes(now, f)
+	rec := t.recordOf(f)
+	old := rec.origins[s.Origin]
+	if s.Seq <= old.seq {
+		return
+	}
+	if old.engine != "" && s.Crashes > old.crashes {
+		t.crashedBy[old.engine] = now.Add(crashNoticeSpan)
+	}
+	rec.origins[s.Origin] = origin{seq: s.Seq, crashes: s.Crashes, at: at, engine: s.Engine}
+	rec.at = max(rec.at, at)
+	if s.Cleared {
+		rec.cleared = max(rec.cleared, at)
+	}
+	t.wake()
+}
+
+// Records returns this instance's part of each record, for a peer that has connected.
+func (t *Table) Records(now time.Time) []*peerpb.Suspicion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []*peerpb.Suspicion
+	for f := range t.records {
+		if own, found := t.records[f].origins[t.opts.Self]; found && t.crashes(now, f) > 0 {
+			all = append(all, suspicion(f, t.opts.Self, own))
+		}
+	}
+	return all
+}
+
+// State is the table's part of the state dump.
+type State struct {
+	Fingerprint string `json:"fingerprint"`
+	Crashes     int    `json:"crashes"`
+}
+
+// State returns the suspects.
+func (t *Table) State(now time.Time) []State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := []State{}
+	for f := range t.records {
+		if crashes := t.crashes(now, f); crashes > 0 {
+			all = append(all, State{f.String(), crashes})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/suspect/record.go
@@ -0,0 +1,41 @@
+package suspect
+
+import "time"
+
+// record is what is known of one suspect. Each instance counts the crashes that it has seen itself, so that records
+// can be merged in any order: the sum over the instances is the number of crashes.
+type record struct {
+	origins map[string]origin
+	// cleared is the time up to which crashes are forgiven; at is the highest time of any part.
+	cleared int64
+	at      int64
+}
+
+// origin is one instance's part of a record.
+type origin struct {
+	seq     uint64
+	crashes uint32
+	at      int64  // Unix milliseconds
+	engine  string // where that instance runs the suspect now
+}
+
+// crashes returns the number of crashes that are not forgiven.
+func (r *record) crashes() int {
+	sum := 0
+	for _, o := range r.origins {
+		if o.at > r.cleared {
+			sum += int(o.crashes)
+		}
+	}
+	return sum
+}
+
+// stamp returns a time after every part of the record, so that order does not depend on the instances' clocks.
+func (r *record) stamp(now time.Time) int64 {
+	r.at = max(r.at+1, now.UnixMilli())
+	return r.at
+}
+
+func (r *record) expired(now time.Time) bool {
+	return now.UnixMilli() >= r.at+refuseFor.Milliseconds()
+}
