--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,8 +4,9 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
+	"net"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,7 +16,10 @@
 	"rhubarbpoint/settings"
 )
 
-// Run serves until the context ends.
+// drainDelay is the default of the setting drain_delay.
+const drainDelay = 5 * time.Second
+
+// Run serves until the context ends, then stops gracefully.
 func Run(ctx context.Context, s *settings.Settings) error {
 	data, err := os.ReadFile(s.ConfigFile)
 	if err != nil {
@@ -25,13 +29,23 @@
 	if err := json.Unmarshal(data, &doc); err != nil {
 		return errors.Wrap(err, "daemon: configuration file")
 	}
-	server := &http.Server{
-		Addr:    s.CallerListen,
-		Handler: entry.NewServer(httpengine.New(), func() *config.Document { return &doc }).Handler(),
-	}
-	context.AfterFunc(ctx, func() { server.Shutdown(context.WithoutCancel(ctx)) })
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	listener, err := net.Listen("tcp", s.CallerListen)
+	if err != nil {
 		return errors.Wrap(err, "daemon: caller listener")
 	}
-	return nil
+	front := entry.NewFront(entry.NewServer(entry.Options{
+		Engines: httpengine.New(), Document: func() *config.Document { return &doc }, Region: s.Region,
+	}))
+	drained := make(chan error, 1)
+	context.AfterFunc(ctx, func() {
+		delay := s.DrainDelay.D()
+		if delay == 0 {
+			delay = drainDelay
+		}
+		drained <- front.Drain(delay)
+	})
+	if err := front.Serve(listener); err != nil {
+		return err
+	}
+	return <-drained
 }
--- a/engine/httpengine/frame_stream.go
+++ b/engine/httpengine/frame_stream.go
@@ -55,7 +55,7 @@
 		return engine.ErrSilent
 	case err == nil:
 		return io.EOF
-	case errors.Is(err, bufio.ErrTooLong), errors.Is(err, errCutFrame):
+	case errors.Is(err, bufio.ErrTooLong):
 		return errors.Mark(err, engine.ErrCorrupt)
 	}
 	return errors.Mark(err, engine.ErrBroken)
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/config"
+)
+
+// headerDeadline carries milliseconds from the arrival of the request, or a time in RFC 3339.
+const headerDeadline = "Request-Deadline"
+
+// call is what is known of a request from its headers.
+type call struct {
+	id        string
+	arrived   time.Time
+	deadline  time.Time
+	doc       *config.Document
+	workspace config.Workspace
+}
+
+func (s *Server) newCall(r *http.Request, id string) (*call, *Error) {
+	c := &call{id: id, arrived: time.Now(), doc: s.opts.Document()}
+	if c.doc == nil {
+		return nil, notRun(http.StatusServiceUnavailable, codeNoUpstream, "the instance has no configuration yet")
+	}
+	var found bool
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if c.workspace, found = s.workspace(c.doc, key); !found {
+		return nil, notRun(http.StatusUnauthorized, codeUnauthorized, "no workspace has this bearer key")
+	}
+	var err *Error
+	c.deadline, err = deadlineOf(r, c.arrived, &c.doc.Network)
+	return c, err
+}
+
+func (s *Server) longestDeadline() time.Duration {
+	doc := s.opts.Document()
+	if doc == nil {
+		return defaultMaxDeadline
+	}
+	return longestDeadline(&doc.Network)
+}
+
+func longestDeadline(network *config.Network) time.Duration {
+	return orDefault(network.MaxRequestDeadline.D(), defaultMaxDeadline)
+}
+
+func deadlineOf(r *http.Request, now time.Time, network *config.Network) (time.Time, *Error) {
+	longest := longestDeadline(network)
+	text := r.Header.Get(headerDeadline)
+	if text == "" {
+		return now.Add(min(longest, orDefault(network.DefaultDeadline.D(), defaultDeadline))), nil
+	}
+	deadline, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		millis, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || millis > longest.Milliseconds() {
+			return time.Time{}, notRun(http.StatusBadRequest, codeBadDeadline, headerDeadline+
+				" must be RFC 3339 or milliseconds, at most "+strconv.FormatInt(longest.Milliseconds(), 10))
+		}
+		deadline = now.Add(time.Duration(max(millis, 0)) * time.Millisecond)
+	}
+	switch {
+	case !deadline.After(now):
+		return time.Time{}, notRun(http.StatusGatewayTimeout, codeDeadline, "the deadline had passed on arrival")
+	case deadline.Sub(now) > longest:
+		return time.Time{}, notRun(http.StatusBadRequest, codeBadDeadline, "the deadline is more than "+
+			longest.String()+" ahead")
+	}
+	return deadline, nil
+}
+
+// readBody reads the whole body within the limits for size and time.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) ([]byte, *Error) {
+	limit := orDefault(c.doc.Network.MaxBodyBytes, defaultMaxBody)
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close")
+		return nil, tooLarge(limit)
+	}
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		control.SetReadDeadline(time.Time{})
+		return body, nil
+	case errors.As(err, &large):
+		return nil, tooLarge(limit)
+	}
+	w.Header().Set("Connection", "close")
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, notRun(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive within "+bodyTimeout.String())
+	}
+	return nil, notRun(http.StatusBadRequest, codeBadRequest, "the body was cut off")
+}
+
+func tooLarge(limit int64) *Error {
+	return notRun(http.StatusRequestEntityTooLarge, codeBodyTooLarge,
+		"the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+}
--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"rhubarbpoint/config"
+)
+
+// headerWorkload names the kind of work for the trace; it has no effect on the answer.
+const headerWorkload = "Workload"
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request, c *call) *Error {
+	body, err := s.readBody(w, r, c)
+	if err != nil {
+		return err
+	}
+	chat, err := decodeChat(body)
+	if err != nil {
+		return err
+	}
+	g, err := s.newGeneration(c, chat)
+	if err != nil {
+		return err
+	}
+	defer s.record(c, r.Header.Get(headerWorkload), g)
+	if chat.Stream {
+		return s.streamChat(w, r, g, chat)
+	}
+	return s.wholeChat(w, r, g)
+}
+
+func findModel(doc *config.Document, name string) (config.Model, bool) {
+	i := slices.IndexFunc(doc.Models.Models, func(m config.Model) bool { return m.Name == name })
+	if i < 0 {
+		return config.Model{}, false
+	}
+	return doc.Models.Models[i], true
+}
+
+func (s *Server) wholeChat(w http.ResponseWriter, r *http.Request, g *generation) *Error {
+	if err := g.run(r.Context()); err != nil {
+		return err
+	}
+	text := strings.Join(g.whole.Delivered(), "")
+	answer := g.completion("chat.completion")
+	answer.Usage = usageOf(g.whole)
+	answer.Choices = []chatChoice{{Message: &chatText{"assistant", &text}, FinishReason: finishReason(g.whole)}}
+	body, _ := json.Marshal(answer)
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	w.Write(body)
+	return nil
+}
+
+func (s *Server) streamChat(w http.ResponseWriter, r *http.Request, g *generation, chat *chatRequest) *Error {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	events := newEventStream(w, cancel)
+	defer events.close()
+	role := "assistant"
+	send := func(choices []chatChoice, usage *chatUsage) error {
+		chunk := g.completion("chat.completion.chunk")
+		chunk.Choices, chunk.Usage = choices, usage
+		body, _ := json.Marshal(chunk)
+		return events.data(body)
+	}
+	g.deliver = func(token string) error {
+		delta := &chatText{role, &token}
+		role = ""
+		return send([]chatChoice{{Delta: delta}}, nil)
+	}
+	if err := g.run(ctx); err != nil {
+		return s.endStream(events, g, err)
+	}
+	err := send([]chatChoice{{Delta: &chatText{Role: role}, FinishReason: finishReason(g.whole)}}, nil)
+	if err == nil && chat.IncludeUsage {
+		err = send([]chatChoice{}, usageOf(g.whole))
+	}
+	if err == nil {
+		err = events.data([]byte("[DONE]"))
+	}
+	if err != nil {
+		s.metrics.callerGone.Inc(1)
+	}
+	return nil
+}
+
+// endStream answers with the error, as an event once the stream has started.
+func (s *Server) endStream(events *eventStream, g *generation, err *Error) *Error {
+	events.close()
+	if !events.hasStarted() {
+		return err
+	}
+	s.metrics.failed.Inc(1)
+	eventRequestFailed.Log(context.Background(), s.opts.Logger, requestAttrs(g.req.RequestID, err)...)
+	events.data(err.body())
+	return nil
+}
--- /dev/null
+++ b/entry/chat_message.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// chatMessage is one message of a request. Its content is a text or a list of text parts.
+type chatMessage struct {
+	Role    string      `json:"role"`
+	Content messageText `json:"content"`
+}
+
+type messageText string
+
+// UnmarshalJSON joins text parts. Other kinds of parts are refused.
+func (t *messageText) UnmarshalJSON(data []byte) error {
+	var text string
+	if json.Unmarshal(data, &text) == nil {
+		*t = messageText(text)
+		return nil
+	}
+	var parts []struct {
+		Type string  `json:"type"`
+		Text *string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	var whole strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" || part.Text == nil {
+			return errors.New("entry: only text parts are supported")
+		}
+		whole.WriteString(*part.Text)
+	}
+	*t = messageText(whole.String())
+	return nil
+}
--- /dev/null
+++ b/entry/chat_response.go
@@ -0,0 +1,52 @@
+package entry
+
+import "rhubarbpoint/stream"
+
+// The answers of chat completions, as the OpenAI interface has them.
+type (
+	chatCompletion struct {
+		ID      string       `json:"id"`
+		Object  string       `json:"object"`
+		Created int64        `json:"created"`
+		Model   string       `json:"model"`
+		Choices []chatChoice `json:"choices"`
+		Usage   *chatUsage   `json:"usage,omitempty"`
+		// Fingerprint is the exact model version.
+		Fingerprint string `json:"system_fingerprint,omitempty"`
+	}
+	chatChoice struct {
+		Index        int       `json:"index"`
+		Message      *chatText `json:"message,omitempty"`
+		Delta        *chatText `json:"delta,omitempty"`
+		FinishReason *string   `json:"finish_reason"`
+	}
+	chatText struct {
+		Role    string  `json:"role,omitempty"`
+		Content *string `json:"content,omitempty"`
+	}
+	chatUsage struct {
+		PromptTokens     int           `json:"prompt_tokens"`
+		CompletionTokens int           `json:"completion_tokens"`
+		TotalTokens      int           `json:"total_tokens"`
+		PromptDetails    promptDetails `json:"prompt_tokens_details"`
+	}
+	promptDetails struct {
+		CachedTokens int `json:"cached_tokens"`
+	}
+)
+
+func usageOf(whole *stream.Assembler) *chatUsage {
+	end, output := whole.End(), len(whole.Delivered())
+	return &chatUsage{
+		PromptTokens: end.PromptTokens, CompletionTokens: output, TotalTokens: end.PromptTokens + output,
+		PromptDetails: promptDetails{end.CachedTokens},
+	}
+}
+
+func finishReason(whole *stream.Assembler) *string {
+	reason := whole.End().FinishReason
+	if reason == "" {
+		reason = "stop"
+	}
+	return &reason
+}
--- /dev/null
+++ b/entry/codes.go
@@ -0,0 +1,32 @@
+package entry
+
+// The stable error codes of the callers' interface. docs/api.md explains them. Codes of non-idempotent orders that
+// package claim returns come on top.
+const (
+	codeBadRequest       = "bad_request"
+	codeUnsupported      = "unsupported"
+	codeBodyTooLarge     = "body_too_large"
+	codeBodyTimeout      = "body_timeout"
+	codeTooManyHeaders   = "too_many_headers"
+	codeUnauthorized     = "unauthorized"
+	codeNotFound         = "not_found"
+	codeMethod           = "method_not_allowed"
+	codeUnknownModel     = "unknown_model"
+	codeUnknownService   = "unknown_service"
+	codeUnknownRoute     = "unknown_route"
+	codeContext          = "context_too_long"
+	codeBadDeadline      = "bad_deadline"
+	codeDeadline         = "deadline_exceeded"
+	codeTooLate          = "too_late"
+	codeOverShare        = "over_share"
+	codeNoEngine         = "no_engine"
+	codeNoUpstream       = "no_upstream"
+	codeSuspect          = "suspect_refused"
+	codeRetries          = "retries_exhausted"
+	codeStopping         = "stopping"
+	codeKeyMissing       = "idempotency_key_missing"
+	codeKeyInvalid       = "idempotency_key_invalid"
+	codeOrdersOff        = "orders_unavailable"
+	codeUpstream         = "upstream_failed"
+	codeAlreadyCompleted = "already_completed"
+)
--- /dev/null
+++ b/entry/crash.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/engine"
+)
+
+// crashChecks is the number of questions to an engine after a broken stream. A connection that breaks at the question
+// itself says nothing, so it is asked again.
+const crashChecks = 3
+
+// hasCrashed says whether an engine that broke a stream has restarted since or accepts no connections.
+func (s *Server) hasCrashed(ctx context.Context, engineID, addr string) bool {
+	known := s.epochs.get(engineID)
+	for range crashChecks {
+		state, err := s.engineState(ctx, addr)
+		switch {
+		case err == nil:
+			s.epochs.set(engineID, state.Epoch)
+			return known != "" && state.Epoch != known
+		case errors.Is(err, engine.ErrNotSent):
+			return true
+		}
+	}
+	return false
+}
+
+// engineState asks although the request may be ending, since other requests profit from the answer.
+func (s *Server) engineState(ctx context.Context, addr string) (*engine.State, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stateTimeout)
+	defer cancel()
+	return s.opts.Engines.State(ctx, addr)
+}
+
+// reportLeaving tells of a leaving engine. It needs the engine's epoch, because the next start of the engine may take
+// work again.
+func (s *Server) reportLeaving(ctx context.Context, engineID, addr string) {
+	s.background.Go(func() {
+		epoch := s.epochs.get(engineID)
+		if state, err := s.engineState(ctx, addr); err == nil {
+			epoch = state.Epoch
+			s.epochs.set(engineID, epoch)
+		}
+		eventEngineLeaving.Log(ctx, s.opts.Logger, slog.String("engine", engineID))
+		s.opts.OnLeaving(engineID, engine.EpochHash(epoch))
+	})
+}
--- /dev/null
+++ b/entry/error.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/claim"
+)
+
+// Error is a failure as the caller sees it.
+type Error struct {
+	Status  int
+	Code    string
+	Message string
+	Run     claim.RunState
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "entry: " + e.Code + ": " + e.Message }
+
+// Reasons for which the context of a request ends, besides a caller that left.
+var (
+	errDeadline = errors.New("entry: deadline passed")
+	errStopping = errors.New("entry: instance stops")
+)
+
+// notRun returns an error about a request that was sent to no upstream.
+func notRun(status int, code, message string) *Error {
+	return &Error{Status: status, Code: code, Message: message, Run: claim.NotRun}
+}
+
+func failure(sent bool, status int, code, message string) *Error {
+	if sent {
+		return &Error{Status: status, Code: code, Message: message, Run: claim.Unknown}
+	}
+	return notRun(status, code, message)
+}
+
+// body returns the error in the form of the callers' interface.
+func (e *Error) body() []byte {
+	type content struct {
+		Code    string         `json:"code"`
+		Message string         `json:"message"`
+		Run     claim.RunState `json:"run,omitempty"`
+	}
+	body, _ := json.Marshal(map[string]content{"error": {e.Code, e.Message, e.Run}})
+	return body
+}
+
+// write answers with the error.
+func (e *Error) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.Status)
+	w.Write(append(e.body(), '\n'))
+}
--- /dev/null
+++ b/entry/events.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"log/slog"
+
+	"rhubarbpoint/internal/event"
+)
+
+var (
+	eventAttemptFailed = event.New(300, "attempt failed", slog.LevelWarn,
+		"An attempt at a model request failed. The request goes on elsewhere if its deadline and the retry budget allow.")
+	eventRequestFailed = event.New(301, "request failed", slog.LevelWarn,
+		"A caller got an error. The attribute code is the code of the error.")
+	eventPrefillFailed = event.New(302, "prefill elsewhere failed", slog.LevelWarn,
+		"The prompt could not be processed on another engine or its KV cache could not be moved; the request runs without.")
+	eventEngineCrashed = event.New(303, "engine crashed", slog.LevelError,
+		"An engine broke a stream and has restarted since or accepts no connections.")
+	eventEngineLeaving = event.New(304, "engine leaving", slog.LevelInfo,
+		"An engine refused a request because it drains. The peers are told.")
+	eventUpstreamEjected = event.New(305, "upstream ejected", slog.LevelWarn,
+		"An upstream failed several times in a row and gets no requests for a while, unless no other is left.")
+	eventDrainStarted = event.New(306, "drain started", slog.LevelInfo,
+		"The instance reports not ready and goes on accepting requests while the balancer lags.")
+	eventDrainFinished = event.New(307, "drain finished", slog.LevelInfo,
+		"The caller listener is closed and no request is in flight.")
+	eventDrainOverdue = event.New(308, "drain overdue", slog.LevelError,
+		"Requests outlived the grace period and got an error.")
+	eventTraceDropped = event.New(309, "trace record dropped", slog.LevelWarn,
+		"The trace file is too slow or failed; a record was dropped.")
+)
--- /dev/null
+++ b/entry/flight_table.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Flight is a request in flight, for the state dump.
+type Flight struct {
+	ID        string `json:"id"`
+	Workspace string `json:"workspace"`
+	Model     string `json:"model"`
+	Version   string `json:"version"`
+	Engine    string `json:"engine,omitempty"`
+	Attempt   int    `json:"attempt"`
+	// Delivered counts the tokens that were delivered when the attempt began.
+	Delivered int       `json:"delivered"`
+	Arrived   time.Time `json:"arrived"`
+	Deadline  time.Time `json:"deadline"`
+}
+
+// flightTable holds the requests in flight by ID. It is safe for concurrent use.
+type flightTable struct {
+	mu   sync.Mutex
+	byID map[string]Flight
+}
+
+func (t *flightTable) set(f Flight) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byID == nil {
+		t.byID = make(map[string]Flight)
+	}
+	t.byID[f.ID] = f
+}
+
+func (t *flightTable) remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID, id)
+}
+
+func (t *flightTable) all() []Flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	flights := make([]Flight, 0, len(t.byID))
+	for _, f := range t.byID {
+		flights = append(flights, f)
+	}
+	slices.SortFunc(flights, func(a, b Flight) int { return strings.Compare(a.ID, b.ID) })
+	return flights
+}
--- /dev/null
+++ b/entry/front.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// forcedStop bounds the end of requests that outlived the grace period, once they have been told to end.
+const forcedStop = 2 * writeTimeout
+
+// Front is the caller listener: an HTTP server with limits and a graceful stop.
+type Front struct {
+	server *Server
+	http   *http.Server
+	end    context.CancelCauseFunc
+	ready  atomic.Bool
+}
+
+// NewFront returns a listener for a server. It reports ready from Serve on.
+func NewFront(server *Server) *Front {
+	base, end := context.WithCancelCause(context.Background())
+	f := &Front{server: server, end: end}
+	f.http = &http.Server{
+		Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return base },
+	}
+	if logger := server.opts.Logger; logger != nil {
+		f.http.ErrorLog = slog.NewLogLogger(logger.Handler(), slog.LevelDebug)
+	}
+	return f
+}
+
+// Serve accepts callers until Drain. It returns nil after a drain.
+func (f *Front) Serve(listener net.Listener) error {
+	f.ready.Store(true)
+	if err := f.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "entry: caller listener")
+	}
+	return nil
+}
+
+// Ready says whether the balancer should send callers here.
+func (f *Front) Ready() bool { return f.ready.Load() }
+
+// Drain stops gracefully: the front reports not ready, goes on accepting for the delay while the balancer lags, stops
+// listening, and waits for the requests in flight. Requests that outlive the longest allowed deadline get an error. It
+// returns nil when no request was cut off.
+func (f *Front) Drain(delay time.Duration) error {
+	ctx := context.Background()
+	logger := f.server.opts.Logger
+	eventDrainStarted.Log(ctx, logger)
+	f.ready.Store(false)
+	f.server.SetClosing()
+	time.Sleep(delay)
+	err := f.shutdown(f.server.longestDeadline() + writeTimeout)
+	if err != nil {
+		eventDrainOverdue.Log(ctx, logger)
+		f.end(errStopping)
+		if f.shutdown(forcedStop) != nil {
+			f.http.Close()
+		}
+	}
+	f.server.Wait()
+	eventDrainFinished.Log(ctx, logger)
+	return err
+}
+
+func (f *Front) shutdown(limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return errors.Wrap(f.http.Shutdown(ctx), "entry: requests in flight")
+}
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"rhubarbpoint/admit"
+	"rhubarbpoint/claim"
+	"rhubarbpoint/config"
+	"rhubarbpoint/engine"
+	"rhubarbpoint/retry"
+	"rhubarbpoint/route"
+	"rhubarbpoint/suspect"
+)
+
+// Options are the parts that a server works with. Engines and Document must be set; the others have simple defaults.
+type Options struct {
+	Engines  engine.Client
+	Document func() *config.Document
+	// Region is preferred among the replicas of plain services.
+	Region string
+	// Router defaults to LeastInFlight.
+	Router route.Router
+	// Admitter defaults to one that admits all.
+	Admitter admit.Admitter
+	// Orders runs non-idempotent calls; without it they are refused.
+	Orders claim.Runner
+	// Suspects, Health and Budget default to new ones.
+	Suspects *suspect.Table
+	Health   *retry.Health
+	Budget   *retry.Budget
+	// OnLeaving is told of an engine that refused a request because it is leaving. It may be called concurrently.
+	OnLeaving func(engineID string, epochHash uint64)
+	// Leaving says which replicas of plain services get no new calls. Default: none.
+	Leaving func(upstreamID string) bool
+	// Recorder gets each model request, if set.
+	Recorder Recorder
+	// Dial opens connections to plain services. Default: TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Metrics defaults to a new registry.
+	Metrics metrics.Registry
+	Logger  *slog.Logger
+}
+
+func (o Options) withDefaults() Options {
+	if o.Router == nil {
+		o.Router = NewLeastInFlight(o.Document)
+	}
+	if o.Admitter == nil {
+		o.Admitter = admitAll{}
+	}
+	if o.Suspects == nil {
+		o.Suspects = suspect.New(suspect.Options{Self: "entry", Logger: o.Logger})
+	}
+	if o.Health == nil {
+		o.Health = retry.NewHealth()
+	}
+	if o.Budget == nil {
+		o.Budget = retry.NewBudget()
+	}
+	if o.OnLeaving == nil {
+		o.OnLeaving = func(string, uint64) {}
+	}
+	if o.Leaving == nil {
+		o.Leaving = func(string) bool { return false }
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	return o
+}
+
+// admitAll admits every request.
+type admitAll struct{}
+
+func (admitAll) Admit(time.Time, *admit.Request) (func(time.Time), error) {
+	return func(time.Time) {}, nil
+}
--- /dev/null
+++ b/entry/order.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/admit"
+	"rhubarbpoint/claim"
+)
+
+// orderCost is the work of an order for the fair shares, in seconds of one engine. Orders use no engine.
+const orderCost = 0.001
+
+// runOrder runs a non-idempotent call under its claim.
+func (e *exchange) runOrder(ctx context.Context, key string) (*claim.Answer, *Error) {
+	s := e.server
+	if s.opts.Orders == nil {
+		return nil, notRun(http.StatusServiceUnavailable, codeOrdersOff, "the instance runs no orders")
+	}
+	var refusal error
+	answer, err := s.opts.Orders.Run(ctx, key, e.fingerprint(), func(ctx context.Context) (*claim.Answer, error) {
+		// Admission comes after the claim, so that a refusal is certain to be not_run.
+		release, err := s.opts.Admitter.Admit(time.Now(), &admit.Request{
+			Workspace: e.call.workspace.Name, Weight: e.call.workspace.Weight, Cost: orderCost,
+			Deadline: e.call.deadline, Estimate: time.Now(),
+		})
+		if err != nil {
+			refusal = err
+			return nil, errors.Mark(err, claim.ErrNotSent)
+		}
+		defer func() { release(time.Now()) }()
+		return e.sendOnce(ctx)
+	})
+	if err == nil {
+		return answer, nil
+	}
+	return nil, orderError(err, refusal)
+}
+
+// sendOnce sends the order to the first replica that accepts a connection. Nothing was sent to one that does not, so
+// the next may be tried; after a connection was made, none is.
+func (e *exchange) sendOnce(ctx context.Context) (*claim.Answer, error) {
+	s := e.server
+	err := errors.New("entry: the service has no replicas")
+	for _, replica := range s.replicas(time.Now(), e.service) {
+		var answer *claim.Answer
+		answer, err = e.send(ctx, s.fresh, replica.Address)
+		e.judge(ctx, replica, err)
+		if !errors.Is(err, errNotSent) {
+			return answer, err
+		}
+	}
+	return nil, errors.Mark(err, claim.ErrNotSent)
+}
+
+// fingerprint identifies the content of the order.
+func (e *exchange) fingerprint() claim.Fingerprint {
+	digest := sha256.New()
+	for _, part := range []string{e.call.workspace.Name, e.service.Name, e.method, e.target, string(e.body)} {
+		binary.Write(digest, binary.BigEndian, uint64(len(part)))
+		digest.Write([]byte(part))
+	}
+	return claim.Fingerprint(digest.Sum(nil)[:len(claim.Fingerprint{})])
+}
+
+// orderError turns an error of package claim into the caller's. Its code stays, unless the refusal says more.
+func orderError(err, refusal error) *Error {
+	var failed *claim.Error
+	if !errors.As(err, &failed) {
+		return &Error{http.StatusBadGateway, codeUpstream, err.Error(), claim.Unknown}
+	}
+	out := &Error{http.StatusBadGateway, failed.Code, failed.Message, failed.Run}
+	switch {
+	case failed.Run == claim.NotRun && errors.Is(refusal, admit.ErrOverShare):
+		out.Status, out.Code, out.Message = http.StatusTooManyRequests, codeOverShare, "the workspace is over its share"
+	case failed.Run == claim.NotRun && errors.Is(refusal, admit.ErrTooLate):
+		out.Status, out.Code, out.Message = http.StatusServiceUnavailable, codeTooLate, "the order cannot run by the deadline"
+	case failed.Code == codeAlreadyCompleted:
+		out.Status = http.StatusConflict
+	case failed.Run == claim.NotRun:
+		out.Status = http.StatusServiceUnavailable
+	}
+	return out
+}
--- /dev/null
+++ b/entry/place.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/admit"
+	"rhubarbpoint/route"
+	"rhubarbpoint/suspect"
+)
+
+// place chooses an engine, admits the request the first time, and registers the attempt. A suspect waits until an
+// engine without another suspect is free.
+func (g *generation) place(ctx context.Context) (route.Choice, *suspect.Run, error) {
+	suspects := g.s.opts.Suspects
+	for {
+		changed := suspects.Changed()
+		now := time.Now()
+		avoid, err := suspects.Check(now, g.fingerprint)
+		var choice route.Choice
+		if err == nil {
+			if choice, err = g.pick(now, avoid); err == nil {
+				var run *suspect.Run
+				if run, err = suspects.Begin(now, choice.EngineID, g.fingerprint); err == nil {
+					return choice, run, nil
+				}
+			}
+		}
+		if waits := len(avoid) > 0 && errors.Is(err, route.ErrNoEngine); !waits && !errors.Is(err, suspect.ErrWait) {
+			return route.Choice{}, nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return route.Choice{}, nil, context.Cause(ctx)
+		case <-changed:
+		case <-time.After(noEngineWait):
+		}
+	}
+}
+
+func (g *generation) pick(now time.Time, avoid map[string]bool) (route.Choice, error) {
+	req := *g.route
+	req.Avoid = avoid
+	req.Exclude = g.s.unhealthy(now)
+	for id := range g.route.Exclude {
+		req.Exclude[id] = true
+	}
+	choice, err := g.s.opts.Router.Pick(now, &req)
+	if err != nil {
+		return choice, err
+	}
+	if len(avoid) > 0 || len(g.whole.Delivered()) > 0 {
+		choice.PrefillID, choice.PrefillAddress = "", ""
+	}
+	return choice, g.admit(now, choice)
+}
+
+// unhealthy returns the engines that a request should not choose.
+func (s *Server) unhealthy(now time.Time) map[string]bool {
+	doc := s.opts.Document()
+	ids := make([]string, 0, len(doc.Models.Engines))
+	for _, e := range doc.Models.Engines {
+		ids = append(ids, e.ID)
+	}
+	return s.opts.Health.Excluded(now, ids)
+}
+
+// admit asks for admission once for all attempts.
+func (g *generation) admit(now time.Time, choice route.Choice) error {
+	if g.release != nil {
+		return nil
+	}
+	expected := g.s.expected.get(g.model.Name)
+	decode := expected.decode(g.req.MaxTokens)
+	rate := orDefault(g.model.PrefillTokensPerSecond, defaultPrefillRate)
+	release, err := g.s.opts.Admitter.Admit(now, &admit.Request{
+		Workspace: g.call.workspace.Name, Weight: g.call.workspace.Weight,
+		Cost:     float64(g.route.PromptTokens)/rate + decode.Seconds()/expectedBatch,
+		Deadline: g.call.deadline, Estimate: now.Add(choice.FirstToken + decode),
+	})
+	if err != nil {
+		return err
+	}
+	g.release = release
+	return nil
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,75 +3,117 @@
 package entry
 
 import (
-	"encoding/json"
-	"fmt"
+	"context"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
-
-	"rhubarbpoint/config"
-	"rhubarbpoint/engine"
-	"rhubarbpoint/stream"
 )
 
 // Server is the caller listener's handler. It is safe for concurrent use.
 type Server struct {
-	engines engine.Client
-	doc     func() *config.Document
+	opts       Options
+	metrics    *counters
+	workspaces atomic.Pointer[workspaceIndex]
+	expected   expectations
+	epochs     epochTable
+	flights    flightTable
+	idempotent http.RoundTripper
+	fresh      http.RoundTripper
+	background sync.WaitGroup
+	closing    atomic.Bool
 }
 
-// NewServer returns a handler that routes by the document in force.
-func NewServer(engines engine.Client, doc func() *config.Document) *Server {
-	return &Server{engines: engines, doc: doc}
+// NewServer returns a server.
+func NewServer(opts Options) *Server {
+	opts = opts.withDefaults()
+	dial := boundedDial(opts.Dial)
+	return &Server{
+		opts: opts, metrics: newCounters(opts.Metrics),
+		idempotent: &http.Transport{DialContext: dial, IdleConnTimeout: serviceIdleTimeout, MaxIdleConnsPerHost: 8},
+		fresh:      &http.Transport{DialContext: dial, DisableKeepAlives: true},
+	}
 }
 
-// Handler returns the callers' HTTP interface.
-func (s *Server) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", s.chat)
-	return mux
-}
+// SetClosing makes the server ask callers to open a new connection for their next request.
+func (s *Server) SetClosing() { s.closing.Store(true) }
 
-type chatRequest struct {
-	Model     string           `json:"model"`
-	Messages  []engine.Message `json:"messages"`
-	MaxTokens int              `json:"max_tokens"`
-	Stream    bool             `json:"stream"`
-}
+// Wait returns when the work that outlives its request has ended. No request may be in flight.
+func (s *Server) Wait() { s.background.Wait() }
 
-func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
-	var chat chatRequest
-	if err := json.NewDecoder(r.Body).Decode(&chat); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := uuid.NewString()
+	w.Header().Set("Request-Id", id)
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
 	}
-	doc := s.doc()
-	req := &engine.Request{
-		RequestID: uuid.NewString(), Attempt: "1", Model: chat.Model, Version: doc.Models.Models[0].Version,
-		Messages: chat.Messages, MaxTokens: chat.MaxTokens,
+	s.metrics.requests.Inc(1)
+	s.opts.Budget.Request()
+	if err := s.serve(w, r, id); err != nil {
+		s.metrics.failed.Inc(1)
+		eventRequestFailed.Log(r.Context(), s.opts.Logger, requestAttrs(id, err)...)
+		err.write(w)
 	}
-	answer, err := s.engines.Generate(r.Context(), doc.Models.Engines[0].Address, req)
+}
+
+// serve answers the request or returns an error when nothing has been written.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, id string) *Error {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.longestDeadline() + writeTimeout))
+	if countHeaders(r.Header) > maxHeaders {
+		return notRun(http.StatusRequestHeaderFieldsTooLarge, codeTooManyHeaders, "more than 100 header fields")
+	}
+	call, err := s.newCall(r, id)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadGateway)
-		return
+		return err
 	}
-	defer answer.Close()
-	w.Header().Set("Content-Type", "text/event-stream")
-	whole := stream.NewAssembler(req.RequestID, req.Version, req.MaxTokens)
-	whole.Begin(req.Attempt)
-	for !whole.Done() {
-		frame, err := answer.Recv()
-		if err != nil {
-			return
-		}
-		fresh, err := whole.Add(frame)
-		if err != nil {
-			return
-		}
-		if fresh {
-			fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", frame.Token)
-			http.NewResponseController(w).Flush()
-		}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), call.deadline, errDeadline)
+	defer cancel()
+	r = r.WithContext(ctx)
+	switch path := r.URL.Path; {
+	case path == "/v1/chat/completions":
+		return s.only(http.MethodPost, r, w, func() *Error { return s.chat(w, r, call) })
+	case path == "/v1/models":
+		return s.only(http.MethodGet, r, w, func() *Error { return s.models(w) })
+	case strings.HasPrefix(path, servicePrefix):
+		return s.service(w, r, call)
 	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
+	return notRun(http.StatusNotFound, codeNotFound, "no such path")
 }
+
+func (s *Server) only(method string, r *http.Request, w http.ResponseWriter, next func() *Error) *Error {
+	if r.Method != method {
+		w.Header().Set("Allow", method)
+		return notRun(http.StatusMethodNotAllowed, codeMethod, "use "+method)
+	}
+	return next()
+}
+
+func countHeaders(header http.Header) int {
+	n := 0
+	for _, values := range header {
+		n += len(values)
+	}
+	return n
+}
+
+// ended turns the end of a request's context into an error, or returns nil while the context goes on.
+func ended(ctx context.Context, sent bool) *Error {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return nil
+	case errors.Is(cause, errDeadline):
+		return failure(sent, http.StatusGatewayTimeout, codeDeadline, "the deadline has passed")
+	case errors.Is(cause, errStopping):
+		return failure(sent, http.StatusServiceUnavailable, codeStopping, "the instance stops")
+	}
+	return failure(sent, statusCallerGone, codeBadRequest, "the caller left")
+}
+
+// statusCallerGone is only seen in logs, because there is nobody to read it.
+const statusCallerGone = 499
--- /dev/null
+++ b/entry/state.go
@@ -0,0 +1,23 @@
+package entry
+
+import (
+	"time"
+
+	"rhubarbpoint/suspect"
+)
+
+// State is the server's part of the state dump.
+type State struct {
+	InFlight     []Flight             `json:"in_flight"`
+	RetryBalance float64              `json:"retry_balance"`
+	Ejected      map[string]time.Time `json:"ejected"`
+	Suspects     []suspect.State      `json:"suspects"`
+}
+
+// State returns the requests in flight and what is known of failing upstreams and requests.
+func (s *Server) State(now time.Time) State {
+	return State{
+		InFlight: s.flights.all(), RetryBalance: s.opts.Budget.Balance(),
+		Ejected: s.opts.Health.Ejected(now), Suspects: s.opts.Suspects.State(now),
+	}
+}
--- /dev/null
+++ b/entry/workspaces.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"rhubarbpoint/config"
+)
+
+// unknownWorkspace is shared by callers without a known key, where the configuration admits them.
+const unknownWorkspace = "unknown"
+
+// workspaceIndex finds the workspaces of one document by the hash of their key.
+type workspaceIndex struct {
+	doc   *config.Document
+	byKey map[string]config.Workspace
+}
+
+// workspace returns the workspace of a bearer key, with defaults filled in.
+func (s *Server) workspace(doc *config.Document, key string) (config.Workspace, bool) {
+	index := s.workspaces.Load()
+	if index == nil || index.doc != doc {
+		index = newWorkspaceIndex(doc)
+		s.workspaces.Store(index)
+	}
+	if key != "" {
+		sum := sha256.Sum256([]byte(key))
+		if found, ok := index.byKey[hex.EncodeToString(sum[:])]; ok {
+			return found, true
+		}
+	}
+	return config.Workspace{Name: unknownWorkspace, Weight: 1, Priority: defaultPriority}, doc.Callers.AllowUnknown
+}
+
+func newWorkspaceIndex(doc *config.Document) *workspaceIndex {
+	index := &workspaceIndex{doc: doc, byKey: make(map[string]config.Workspace, len(doc.Callers.Workspaces))}
+	for _, w := range doc.Callers.Workspaces {
+		w.Weight = orDefault(w.Weight, 1)
+		w.Priority = orDefault(w.Priority, defaultPriority)
+		index.byKey[w.KeySHA256] = w
+	}
+	return index
+}
