Prove the caller path over pipes in virtual time

The network of the tests is net.Pipe in a synctest bubble; real sockets were ruled out because they make timing depend on the machine.

--- /dev/null
+++ b/entry/answers_test.go
@@ -0,0 +1,194 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/engine"
+	standin "rhubarbpoint/internal/standin/engine"
+)
+
+// Guards against an answer that is cut, mixed or repeated because an engine's frames are late, duplicated, truncated,
+// of another request, or missing.
+func TestSpoiledStreamsNeverReachCallers(t *testing.T) {
+	for _, fault := range []standin.FrameFault{
+		standin.FaultDuplicate, standin.FaultOutOfOrder, standin.FaultTruncated, standin.FaultForeign, standin.FaultLate,
+		standin.FaultWrongVersion, standin.FaultChanged, standin.FaultGarbage, standin.FaultNoEnd, standin.FaultBadTotal,
+		standin.FaultBroken, standin.FaultSilent,
+	} {
+		for _, stream := range []bool{true, false} {
+			t.Run(fmt.Sprint(fault, stream), func(t *testing.T) {
+				inFleet(t, 2, nil, func(f *fleet) {
+					f.engine("e1").SetFaults(standin.Faults{Frame: fault, FrameAt: 3, Streams: 1})
+					r := f.chat(stream, "hello", 8)
+					f.expectWhole(r, "hello", 8)
+					f.Expect(r.done).To(gomega.Equal(stream))
+					f.Expect(r.longest).To(gomega.BeNumerically("<", 3*time.Second))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a stream that ends with its engine.
+func TestEngineDiesMidStream(t *testing.T) {
+	inFleet(t, 2, nil, func(f *fleet) {
+		time.AfterFunc(10*step, func() { f.net.Kill("10.1.0.1:80") })
+		r := f.chat(true, "hello", 30)
+		f.expectWhole(r, "hello", 30)
+		f.Expect(f.net.Dials("10.1.0.2:80")).To(gomega.BeNumerically(">", 0))
+		f.Expect(f.server.State(time.Now()).Suspects).To(gomega.BeEmpty(), "a request that finishes is cleared")
+	})
+}
+
+// Guards against a connection to an engine that carries no more data and holds its callers.
+func TestSilentEngineConnectionsAreReplaced(t *testing.T) {
+	inFleet(t, 2, nil, func(f *fleet) {
+		time.AfterFunc(10*step, func() {
+			f.engine("e1").Silence()
+			f.engine("e2").Silence()
+		})
+		r := f.chat(true, "hello", 30)
+		f.expectWhole(r, "hello", 30)
+		f.Expect(r.longest).To(gomega.BeNumerically("<", 3*time.Second))
+	})
+}
+
+// chatMany runs streams at the same time and checks that each is whole.
+func (f *fleet) chatMany(n, maxTokens int) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			message := fmt.Sprint("message ", i)
+			r := f.chat(i%2 == 0, message, maxTokens)
+			f.expectWhole(r, message, maxTokens)
+		})
+	}
+	return &wg
+}
+
+// Guards against a planned stop of an instance that cuts a stream or refuses callers while the balancer lags.
+func TestDrainOfInstanceCutsNothing(t *testing.T) {
+	inFleet(t, 2, nil, func(f *fleet) {
+		wg := f.chatMany(20, 1000)
+		time.Sleep(time.Second)
+		f.Expect(f.front.Ready()).To(gomega.BeTrue())
+		wg.Go(func() { f.drain(5 * time.Second) })
+		time.Sleep(4 * time.Second)
+		f.Expect(f.front.Ready()).To(gomega.BeFalse())
+		f.expectWhole(f.chat(true, "late", 100), "late", 100)
+		time.Sleep(2 * time.Second)
+		_, err := f.net.Dial(context.Background(), "tcp", entryAddr)
+		f.Expect(err).To(gomega.HaveOccurred())
+		wg.Wait()
+	})
+}
+
+// Guards against a planned stop of an engine that cuts a stream, and against new work for it that must be refused
+// again and again because nobody is told.
+func TestDrainOfEngineCutsNothing(t *testing.T) {
+	told := make(chan uint64, 100)
+	change := func(f *fleet) {
+		f.opts.OnLeaving = func(id string, epoch uint64) {
+			f.Expect(id).To(gomega.Equal("e1"))
+			told <- epoch
+		}
+	}
+	inFleet(t, 2, change, func(f *fleet) {
+		wg := f.chatMany(20, 200)
+		time.Sleep(time.Second)
+		wg.Go(func() { f.Expect(f.stopEngine(context.Background(), "e1", "10.1.0.1:80")).To(gomega.Succeed()) })
+		synctest.Wait()
+		f.chatMany(5, 20).Wait()
+		wg.Wait()
+		f.Expect(told).NotTo(gomega.BeEmpty())
+		f.Expect(<-told).NotTo(gomega.BeZero())
+	})
+}
+
+// Guards against a request that crashes every engine it meets, and against harm to the requests beside it.
+func TestCrashingRequestIsBounded(t *testing.T) {
+	inFleet(t, 6, nil, func(f *fleet) {
+		for _, e := range f.doc.Models.Engines {
+			f.engine(e.ID).SetFaults(standin.Faults{CrashMarker: "poison"})
+		}
+		wg := f.chatMany(12, 300)
+		time.Sleep(time.Second)
+		r := f.chat(false, "poison", 10)
+		f.Expect([]any{r.status, r.code, r.run}).To(gomega.Equal([]any{422, "suspect_refused", "unknown"}))
+		for range 5 {
+			r = f.chat(true, "poison", 10)
+			f.Expect([]any{r.status, r.code, r.run}).To(gomega.Equal([]any{422, "suspect_refused", "not_run"}))
+		}
+		wg.Wait()
+		crashed := 0
+		f.crashes.Range(func(any, any) bool { crashed++; return true })
+		f.Expect(crashed).To(gomega.Equal(3))
+		f.Expect(f.server.State(time.Now()).Suspects).To(gomega.HaveLen(1))
+	})
+}
+
+// Guards against a mixture of versions: tokens of the old version are followed by an error, never by the new one.
+func TestVersionsAreNeverMixed(t *testing.T) {
+	inFleet(t, 2, nil, func(f *fleet) {
+		f.net.Kill("10.1.0.2:80")
+		second := f.doc.Models.Engines[1]
+		f.startEngine(second, standin.Options{ID: "e2", Step: step, Models: []engine.LoadedModel{{Name: "small", Version: "v2"}}})
+		time.AfterFunc(10*step, func() { f.net.Kill("10.1.0.1:80") })
+		r := f.chat(true, "hello", 30, "Request-Deadline", "20000")
+		f.Expect(r.text).NotTo(gomega.BeEmpty())
+		f.Expect(strings.HasPrefix(want("hello", 30), r.text)).To(gomega.BeTrue())
+		f.Expect([]any{r.done, r.run}).To(gomega.Equal([]any{false, "unknown"}))
+	})
+}
+
+// Guards against a stream that goes on after its deadline or ends without saying why.
+func TestDeadlineEndsStreamWithError(t *testing.T) {
+	inFleet(t, 1, nil, func(f *fleet) {
+		r := f.chat(true, "hello", 500, "Request-Deadline", "3000")
+		f.Expect([]any{r.status, r.code, r.done}).To(gomega.Equal([]any{200, "deadline_exceeded", false}))
+		f.Expect(r.took).To(gomega.BeNumerically("~", 3*time.Second, step))
+	})
+}
+
+// Guards against a caller that stops reading and keeps its engine busy.
+func TestSilentCallerEndsRequest(t *testing.T) {
+	inFleet(t, 1, nil, func(f *fleet) {
+		conn, err := f.net.Dial(context.Background(), "tcp", entryAddr)
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+		body := `{"model":"small","messages":[{"role":"user","content":"hi"}],"max_tokens":5000,"stream":true}`
+		fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+			key, len(body), body)
+		io.ReadFull(conn, make([]byte, 1000))
+		f.Expect(f.server.State(time.Now()).InFlight).To(gomega.HaveLen(1))
+		time.Sleep(15 * time.Second)
+		f.Expect(f.server.State(time.Now()).InFlight).To(gomega.BeEmpty())
+	})
+}
+
+// Guards against a caller without comments in a long wait, which could not tell a slow answer from a dead connection.
+func TestCommentsWhileWaiting(t *testing.T) {
+	inFleet(t, 1, nil, func(f *fleet) {
+		f.net.Kill("10.1.0.1:80")
+		f.startEngine(f.doc.Models.Engines[0], standin.Options{ID: "e1", Step: 12 * time.Second})
+		body := `{"model":"small","messages":[{"role":"user","content":"hi"}],"max_tokens":1,"stream":true}`
+		req, _ := http.NewRequest("POST", "http://"+entryAddr+"/v1/chat/completions", strings.NewReader(body))
+		req.Header.Set("Authorization", "Bearer "+key)
+		resp, err := f.client.Do(req)
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+		f.Expect(strings.Count(string(data), ": waiting\n\n")).To(gomega.Equal(2))
+		f.Expect(string(data)).To(gomega.HaveSuffix("data: [DONE]\n\n"))
+	})
+}
--- /dev/null
+++ b/internal/pipenet/network.go
@@ -0,0 +1,89 @@
+// Package pipenet is a network of net.Pipe connections within one process, for tests in virtual time: net/http works
+// over it inside a testing/synctest bubble, where real sockets do not.
+package pipenet
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errRefused is what a dial to an address without listener returns.
+var errRefused = errors.New("pipenet: connection refused")
+
+// Network connects dialers with listeners by address. It is safe for concurrent use.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	dials     map[string]int
+}
+
+// New returns a network without listeners.
+func New() *Network {
+	return &Network{listeners: make(map[string]*listener), dials: make(map[string]int)}
+}
+
+// Listen opens a listener. A listener that had the address before must be closed.
+func (n *Network) Listen(addr string) net.Listener {
+	l := &listener{addr: address(addr), accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[addr] = l
+	return l
+}
+
+// Dial connects to a listener. It fails like a refused TCP connection when there is none.
+func (n *Network) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	n.dials[addr]++
+	n.mu.Unlock()
+	refused := &net.OpError{Op: "dial", Net: network, Addr: address(addr), Err: errRefused}
+	if l == nil {
+		return nil, refused
+	}
+	client, server := net.Pipe()
+	select {
+	case l.accept <- server:
+		l.add(client, server)
+		return client, nil
+	case <-l.closed:
+		return nil, refused
+	case <-ctx.Done():
+		return nil, &net.OpError{Op: "dial", Net: network, Addr: address(addr), Err: ctx.Err()}
+	}
+}
+
+// Dials returns how often an address was dialled.
+func (n *Network) Dials(addr string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials[addr]
+}
+
+// Kill closes the listener of an address and breaks its connections, as the end of the process would.
+func (n *Network) Kill(addr string) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	delete(n.listeners, addr)
+	n.mu.Unlock()
+	if l != nil {
+		l.Close()
+		l.breakAll()
+	}
+}
+
+// Close kills all listeners.
+func (n *Network) Close() {
+	n.mu.Lock()
+	addrs := make([]string, 0, len(n.listeners))
+	for addr := range n.listeners {
+		addrs = append(addrs, addr)
+	}
+	n.mu.Unlock()
+	for _, addr := range addrs {
+		n.Kill(addr)
+	}
+}
