--- a/entry/openai_test.go
+++ b/entry/openai_test.go
@@ -52,5 +52,6 @@
 		for stream.Next() {
 		}
 		f.Expect(stream.Err()).To(gomega.MatchError(gomega.ContainSubstring("retries_exhausted")))
+		f.Expect(stream.Close()).To(gomega.Succeed())
 	})
 }
