Let suspects of one crash share an engine

Killing one of two stand-in engines with 20 of 40 streams on it (real processes, kill -9, curl) ended 19 streams with retries_exhausted: each of the 20 was a suspect, had to run alone, and meanwhile tried the dead engine again until its retries were used up. Now a suspect of one crash may share an engine with others of one crash; after two crashes it runs alone. The bound stays: each crash counts for everyone who took part, and an innocent request that runs alone finishes and is cleared before a third. Waiting in place of the dead engine alone was ruled out: the 20 streams then run one after another and miss their deadlines.

--- a/entry/answers_test.go
+++ b/entry/answers_test.go
@@ -53,6 +53,24 @@
 	})
 }
 
+// Guards against a dead engine whose many streams wait for one another, because each is suspected of the crash.
+func TestManyStreamsOfDeadEngineGoOn(t *testing.T) {
+	inFleet(t, 2, nil, func(f *fleet) {
+		time.AfterFunc(time.Second, func() { f.net.Kill("10.1.0.1:80") })
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				message := fmt.Sprint("message ", i)
+				r := f.chat(true, message, 150)
+				f.expectWhole(r, message, 150)
+				f.Expect(r.longest).To(gomega.BeNumerically("<", 3*time.Second))
+			})
+		}
+		wg.Wait()
+		f.Expect(f.server.State(time.Now()).Suspects).To(gomega.BeEmpty())
+	})
+}
+
 // Guards against a connection to an engine that carries no more data and holds its callers.
 func TestSilentEngineConnectionsAreReplaced(t *testing.T) {
 	inFleet(t, 2, nil, func(f *fleet) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -11,24 +11,35 @@
 	"rhubarbpoint/suspect"
 )
 
+// errUnwanted is a choice that the request excludes, of which nothing better is left.
+var errUnwanted = errors.New("entry: only excluded engines are left")
+
 // place chooses an engine, admits the request the first time, and registers the attempt. A suspect waits until an
-// engine without another suspect is free.
+// engine that it may use is free.
 func (g *generation) place(ctx context.Context) (route.Choice, *suspect.Run, error) {
 	suspects := g.s.opts.Suspects
-	for {
+	for waited := false; ; {
 		changed := suspects.Changed()
 		now := time.Now()
 		avoid, err := suspects.Check(now, g.fingerprint)
 		var choice route.Choice
 		if err == nil {
-			if choice, err = g.pick(now, avoid); err == nil {
+			choice, err = g.pick(now, avoid)
+		}
+		if errors.Is(err, errUnwanted) && (waited || len(avoid) == 0) {
+			err = nil
+		}
+		if err == nil {
+			if err = g.admit(now, choice); err == nil {
 				var run *suspect.Run
 				if run, err = suspects.Begin(now, choice.EngineID, g.fingerprint); err == nil {
 					return choice, run, nil
 				}
 			}
 		}
-		if waits := len(avoid) > 0 && errors.Is(err, route.ErrNoEngine); !waits && !errors.Is(err, suspect.ErrWait) {
+		// An engine that other suspects keep from this one can become free.
+		held := len(avoid) > 0 && (errors.Is(err, route.ErrNoEngine) || errors.Is(err, errUnwanted))
+		if !held && !errors.Is(err, suspect.ErrWait) {
 			return route.Choice{}, nil, err
 		}
 		select {
@@ -36,10 +47,12 @@
 			return route.Choice{}, nil, context.Cause(ctx)
 		case <-changed:
 		case <-time.After(noEngineWait):
+			waited = true
 		}
 	}
 }
 
+// pick returns errUnwanted together with a choice that is excluded.
 func (g *generation) pick(now time.Time, avoid map[string]bool) (route.Choice, error) {
 	req := *g.route
 	req.Avoid = avoid
@@ -54,7 +67,10 @@
 	if len(avoid) > 0 || len(g.whole.Delivered()) > 0 {
 		choice.PrefillID, choice.PrefillAddress = "", ""
 	}
-	return choice, g.admit(now, choice)
+	if req.Exclude[choice.EngineID] {
+		return choice, errUnwanted
+	}
+	return choice, nil
 }
 
 // unhealthy returns the engines that a request should not choose.
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -1,5 +1,5 @@
-// Package suspect finds requests that crash engines and bounds the harm: a suspect runs apart from other suspects, so
-// that a further crash tells which one is the cause, and is refused after a few crashes.
+// Package suspect finds requests that crash engines and bounds the harm: a suspect of two crashes runs apart from other
+// suspects, so that a further crash tells which one is the cause, and is refused after that.
 package suspect
 
 import (
@@ -14,6 +14,11 @@
 const (
 	// maxCrashes is the number of engines that one request may crash.
 	maxCrashes = 3
+	// aloneAfter is the number of crashes after which a suspect runs without other suspects beside it. One crash says
+	// little, since most engines that die do so without a request's fault: with all 20 streams of a dead engine running
+	// alone, one after another, a fleet of two engines missed their deadlines. Two crashes are enough to tell, because
+	// an innocent request that then runs alone finishes.
+	aloneAfter = 2
 	// refuseFor is how long a request is refused after its last crash, and how long a suspicion lasts.
 	refuseFor = 10 * time.Minute
 	// maxRecords bounds memory; the record with the oldest change is dropped first.
@@ -81,7 +86,9 @@
 	avoid := make(map[string]bool)
 	wait := false
 	t.eachSuspectRun(now, func(other Fingerprint, engine string) {
-		avoid[engine] = true
+		if crashes >= aloneAfter || t.crashes(now, other) >= aloneAfter {
+			avoid[engine] = true
+		}
 		wait = wait || other == f
 	})
 	if wait {
