Bound waits for engines and transfers, and stops by deadlines in flight

A transfer of KV cache may take as long as processing the prompt again. Whole answers are written in pieces, each with its own limit, so that a slow caller is not cut off.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"os"
 	"time"
 
@@ -29,9 +28,9 @@
 	if err := json.Unmarshal(data, &doc); err != nil {
 		return errors.Wrap(err, "daemon: configuration file")
 	}
-	listener, err := net.Listen("tcp", s.CallerListen)
+	listener, err := entry.Listen(ctx, s.CallerListen)
 	if err != nil {
-		return errors.Wrap(err, "daemon: caller listener")
+		return errors.Wrap(err, "daemon")
 	}
 	front := entry.NewFront(entry.NewServer(entry.Options{
 		Engines: httpengine.New(), Document: func() *config.Document { return &doc }, Region: s.Region,
--- a/engine/request.go
+++ b/engine/request.go
@@ -19,6 +19,7 @@
 	Model     string    `json:"model"`
 	Version   string    `json:"version"`
 	Messages  []Message `json:"messages"`
+	// MaxTokens bounds the whole answer, delivered tokens included.
 	MaxTokens int       `json:"max_tokens"`
 	Priority  int       `json:"priority"`
 	Deadline  time.Time `json:"deadline"`
--- a/entry/answers_test.go
+++ b/entry/answers_test.go
@@ -240,3 +240,33 @@
 		f.Expect(string(data)).To(gomega.HaveSuffix("data: [DONE]\n\n"))
 	})
 }
+
+// Guards against a stop that ends requests which were accepted with a longer deadline than is allowed now, and against
+// an instance that never stops because a request does not end.
+func TestDrainHonoursEarlierDeadlines(t *testing.T) {
+	inFleet(t, 1, nil, func(f *fleet) {
+		var wg sync.WaitGroup
+		wg.Go(func() { f.expectWhole(f.chat(true, "hello", 4000, "Request-Deadline", "100000"), "hello", 4000) }) // 80 s
+		time.Sleep(time.Second)
+		changed := *f.doc
+		changed.Network.MaxRequestDeadline = config.Duration(time.Second)
+		f.current.Store(&changed)
+		f.drain(time.Second)
+		wg.Wait()
+	})
+}
+
+// Guards against an engine shortage that holds callers until their deadline, or is said to have run something.
+func TestNoEngine(t *testing.T) {
+	inFleet(t, 2, nil, func(f *fleet) {
+		f.engine("e1").Drain()
+		f.engine("e2").Drain()
+		r := f.chat(false, "hello", 5)
+		f.Expect([]any{r.status, r.code}).To(gomega.Equal([]any{503, "no_engine"}))
+		f.Expect(r.took).To(gomega.BeNumerically("<", 8*time.Second))
+		f.net.Kill("10.1.0.1:80")
+		f.net.Kill("10.1.0.2:80")
+		r = f.chat(false, "hello", 5)
+		f.Expect([]any{r.status, r.code, r.run}).To(gomega.Equal([]any{502, "retries_exhausted", "not_run"}))
+	})
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -74,6 +74,7 @@
 		return first, err
 	}
 	defer frames.Close()
+	g.noEngine = time.Time{}
 	for !g.whole.Done() {
 		frame, err := frames.Recv()
 		if errors.Is(err, io.EOF) {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"rhubarbpoint/config"
 )
@@ -52,10 +50,8 @@
 	answer.Usage = usageOf(g.whole)
 	answer.Choices = []chatChoice{{Message: &chatText{"assistant", &text}, FinishReason: finishReason(g.whole)}}
 	body, _ := json.Marshal(answer)
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	w.Write(body)
+	writeWhole(w, http.StatusOK, body)
 	return nil
 }
 
--- a/entry/codes.go
+++ b/entry/codes.go
@@ -21,6 +21,7 @@
 	codeOverShare        = "over_share"
 	codeNoEngine         = "no_engine"
 	codeNoUpstream       = "no_upstream"
+	codeOverloaded       = "overloaded"
 	codeSuspect          = "suspect_refused"
 	codeRetries          = "retries_exhausted"
 	codeStopping         = "stopping"
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -36,10 +36,14 @@
 	return s.opts.Engines.State(ctx, addr)
 }
 
-// reportLeaving tells of a leaving engine. It needs the engine's epoch, because the next start of the engine may take
+// reportLeaving tells of a leaving engine, once for refusals that come together. It needs the engine's epoch, because the next start of the engine may take
 // work again.
 func (s *Server) reportLeaving(ctx context.Context, engineID, addr string) {
+	if _, pending := s.leaving.LoadOrStore(engineID, true); pending {
+		return
+	}
 	s.background.Go(func() {
+		defer s.leaving.Delete(engineID)
 		epoch := s.epochs.get(engineID)
 		if state, err := s.engineState(ctx, addr); err == nil {
 			epoch = state.Epoch
--- a/entry/front.go
+++ b/entry/front.go
@@ -14,6 +14,15 @@
 // forcedStop bounds the end of requests that outlived the grace period, once they have been told to end.
 const forcedStop = 2 * writeTimeout
 
+// Listen opens the caller listener. Its TCP keepalive finds a caller that is gone within 15 s.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: 5 * time.Second, Interval: 5 * time.Second, Count: 2,
+	}}
+	listener, err := config.Listen(ctx, "tcp", addr)
+	return listener, errors.Wrap(err, "entry: caller listener")
+}
+
 // Front is the caller listener: an HTTP server with limits and a graceful stop.
 type Front struct {
 	server *Server
@@ -58,7 +67,7 @@
 	f.ready.Store(false)
 	f.server.SetClosing()
 	time.Sleep(delay)
-	err := f.shutdown(f.server.longestDeadline() + writeTimeout)
+	err := f.shutdown(f.server.grace(time.Now()) + writeTimeout)
 	if err != nil {
 		eventDrainOverdue.Log(ctx, logger)
 		f.end(errStopping)
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -31,9 +31,10 @@
 
 	release func(now time.Time)
 	// sent is set once an engine may have received the request.
-	sent       bool
-	attempts   int
-	charged    int
+	sent     bool
+	attempts int
+	charged  int
+	// noEngine is since when no engine takes the request; zero while one does.
 	noEngine   time.Time
 	firstToken time.Time
 	lastToken  time.Time
@@ -119,19 +120,20 @@
 		return failure(g.sent, http.StatusServiceUnavailable, codeTooLate, "the answer cannot be ready by the deadline")
 	case errors.Is(err, route.ErrNoEngine), errors.Is(err, route.ErrTooLate):
 		return g.awaitEngine()
-	}
-	g.noEngine = time.Time{}
-	if errors.Is(err, engine.ErrDraining) || errors.Is(err, engine.ErrUnknownModel) {
+	case errors.Is(err, engine.ErrDraining), errors.Is(err, engine.ErrUnknownModel):
 		// Planned changes cause these refusals, so they must not use up what protects against faults.
+		return g.awaitEngine()
+	}
+	if g.charged++; g.charged <= maxCharged && g.s.opts.Budget.Take() {
 		return nil
 	}
-	if g.charged++; g.charged > maxCharged || !g.s.opts.Budget.Take() {
-		return failure(g.sent, http.StatusBadGateway, codeRetries, "the request failed on every engine that was tried")
+	if errors.Is(err, engine.ErrOverloaded) {
+		return failure(g.sent, http.StatusServiceUnavailable, codeOverloaded, "the engines take no more requests")
 	}
-	return nil
+	return failure(g.sent, http.StatusBadGateway, codeRetries, "the request failed on every engine that was tried")
 }
 
-// awaitEngine bounds how long a request waits while no engine is available.
+// awaitEngine bounds how long a request waits while no engine takes it.
 func (g *generation) awaitEngine() *Error {
 	now := time.Now()
 	if g.noEngine.IsZero() {
--- a/entry/order.go
+++ b/entry/order.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +23,7 @@
 	if s.opts.Orders == nil {
 		return nil, notRun(http.StatusServiceUnavailable, codeOrdersOff, "the instance runs no orders")
 	}
-	var refusal error
+	var refusal atomic.Pointer[error] // the runner may return before the function has
 	answer, err := s.opts.Orders.Run(ctx, key, e.fingerprint(), func(ctx context.Context) (*claim.Answer, error) {
 		// Admission comes after the claim, so that a refusal is certain to be not_run.
 		release, err := s.opts.Admitter.Admit(time.Now(), &admit.Request{
@@ -30,7 +31,7 @@
 			Deadline: e.call.deadline, Estimate: time.Now(),
 		})
 		if err != nil {
-			refusal = err
+			refusal.Store(&err)
 			return nil, errors.Mark(err, claim.ErrNotSent)
 		}
 		defer func() { release(time.Now()) }()
@@ -39,7 +40,10 @@
 	if err == nil {
 		return answer, nil
 	}
-	return nil, orderError(err, refusal)
+	if refused := refusal.Load(); refused != nil {
+		return nil, orderError(err, *refused)
+	}
+	return nil, orderError(err, nil)
 }
 
 // sendOnce sends the order to the first replica that accepts a connection. Nothing was sent to one that does not, so
--- a/entry/prefill.go
+++ b/entry/prefill.go
@@ -14,6 +14,9 @@
 	"rhubarbpoint/stream"
 )
 
+// minMoveTime leaves room for the calls themselves when a prompt is short.
+const minMoveTime = time.Second
+
 // prefill has another engine process the prompt and moves its KV cache to the engine that decodes. It returns nil when
 // any step fails; the request then runs without.
 func (g *generation) prefill(ctx context.Context, choice route.Choice) *engine.KVHandle {
@@ -32,6 +35,11 @@
 	if err := g.processPrompt(ctx, choice); err != nil {
 		return nil, err
 	}
+	// Moving the cache must not take longer than processing the prompt again.
+	rate := orDefault(g.model.PrefillTokensPerSecond, defaultPrefillRate)
+	limit := max(minMoveTime, time.Duration(float64(g.route.PromptTokens)/rate*float64(time.Second)))
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	engines := g.s.opts.Engines
 	handle, err := engines.ExportKV(ctx, choice.PrefillAddress, g.req.RequestID)
 	if err != nil {
--- a/entry/server.go
+++ b/entry/server.go
@@ -25,7 +25,11 @@
 	idempotent http.RoundTripper
 	fresh      http.RoundTripper
 	background sync.WaitGroup
-	closing    atomic.Bool
+	// leaving has the engines that are being reported.
+	leaving sync.Map
+	closing atomic.Bool
+	// latest is the latest deadline of any request, in Unix milliseconds.
+	latest atomic.Int64
 }
 
 // NewServer returns a server.
@@ -61,6 +65,21 @@
 	}
 }
 
+// grace returns how long requests in flight may still take.
+func (s *Server) grace(now time.Time) time.Duration {
+	return max(s.longestDeadline(), time.UnixMilli(s.latest.Load()).Sub(now))
+}
+
+// noteDeadline keeps the latest deadline. The longest allowed one can be lowered while requests are in flight.
+func (s *Server) noteDeadline(deadline time.Time) {
+	for millis := deadline.UnixMilli(); ; {
+		latest := s.latest.Load()
+		if millis <= latest || s.latest.CompareAndSwap(latest, millis) {
+			return
+		}
+	}
+}
+
 // serve answers the request or returns an error when nothing has been written.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, id string) *Error {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.longestDeadline() + writeTimeout))
@@ -71,6 +90,7 @@
 	if err != nil {
 		return err
 	}
+	s.noteDeadline(call.deadline)
 	ctx, cancel := context.WithDeadlineCause(r.Context(), call.deadline, errDeadline)
 	defer cancel()
 	r = r.WithContext(ctx)
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -47,15 +46,14 @@
 }
 
 func writeAnswer(w http.ResponseWriter, answer *claim.Answer) {
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	if answer.ContentType != "" {
 		w.Header().Set("Content-Type", answer.ContentType)
 	}
-	if answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
-		w.Header().Set("Content-Length", fmt.Sprint(len(answer.Body)))
+	if answer.Status == http.StatusNoContent || answer.Status == http.StatusNotModified {
+		w.WriteHeader(answer.Status)
+		return
 	}
-	w.WriteHeader(answer.Status)
-	w.Write(answer.Body)
+	writeWhole(w, answer.Status, answer.Body)
 }
 
 // replicas returns the upstreams of a service in the order in which a call tries them: healthy ones of this region,
