--- a/entry/chat.go
+++ b/entry/chat.go
@@ -94,8 +94,7 @@
 	if !events.hasStarted() {
 		return err
 	}
-	s.metrics.failed.Inc(1)
-	eventRequestFailed.Log(context.Background(), s.opts.Logger, requestAttrs(g.req.RequestID, err)...)
+	s.noteFailure(context.Background(), g.req.RequestID, err)
 	events.data(err.body())
 	return nil
 }
--- a/entry/codes.go
+++ b/entry/codes.go
@@ -4,6 +4,7 @@
 // package claim returns come on top.
 const (
 	codeBadRequest       = "bad_request"
+	codeCallerLeft       = "caller_left" // for logs only: nobody reads it
 	codeUnsupported      = "unsupported"
 	codeBodyTooLarge     = "body_too_large"
 	codeBodyTimeout      = "body_timeout"
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"log/slog"
-
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -22,7 +20,3 @@
 		firstToken: metrics.GetOrRegisterHistogram("entry.first_token_ms", r, metrics.NewExpDecaySample(1028, 0.015)),
 	}
 }
-
-func requestAttrs(id string, err *Error) []slog.Attr {
-	return []slog.Attr{slog.String("request", id), slog.String("code", err.Code), slog.String("message", err.Message)}
-}
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"strings"
 	"sync"
@@ -59,8 +60,7 @@
 	s.metrics.requests.Inc(1)
 	s.opts.Budget.Request()
 	if err := s.serve(w, r, id); err != nil {
-		s.metrics.failed.Inc(1)
-		eventRequestFailed.Log(r.Context(), s.opts.Logger, requestAttrs(id, err)...)
+		s.noteFailure(r.Context(), id, err)
 		err.write(w)
 	}
 }
@@ -132,8 +132,21 @@
 	case errors.Is(cause, errStopping):
 		return failure(sent, http.StatusServiceUnavailable, codeStopping, "the instance stops")
 	}
-	return failure(sent, statusCallerGone, codeBadRequest, "the caller left")
+	return failure(sent, statusCallerLeft, codeCallerLeft, "the caller left")
 }
 
-// statusCallerGone is only seen in logs, because there is nobody to read it.
-const statusCallerGone = 499
+// statusCallerLeft is what web servers usually log when the caller closed the connection.
+const statusCallerLeft = 499
+
+// noteFailure counts and logs an error. Errors of callers are no events, so that callers cannot fill the log.
+func (s *Server) noteFailure(ctx context.Context, id string, err *Error) {
+	if err.Code == codeCallerLeft {
+		s.metrics.callerGone.Inc(1)
+		return
+	}
+	s.metrics.failed.Inc(1)
+	if err.Status >= http.StatusInternalServerError {
+		eventRequestFailed.Log(ctx, s.opts.Logger, slog.String("request", id), slog.String("code", err.Code),
+			slog.String("message", err.Message))
+	}
+}
