Compare the epoch of the attempt, and count a crash when no epoch is known

TestInstancesShareSuspects, now with engines that are back at once, saw 4 crashes in 1 of 25 runs: a stream broke before its first frame at an instance that had never heard from the engine, so the restart was taken for a broken connection. The epoch is the attempt's own where known, since another request may have asked the restarted engine before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -102,8 +102,9 @@
 
 func (g *generation) noteEpoch(engineID string, frame *engine.Frame, run *suspect.Run) {
 	if frame.Epoch != "" {
-		run.SetEpoch(frame.Epoch)
-		g.s.epochs.set(engineID, frame.Epoch)
+		epoch := engine.EpochHash(frame.Epoch)
+		run.SetEpoch(epoch)
+		g.s.epochs.set(engineID, epoch)
 	}
 }
 
@@ -131,7 +132,7 @@
 	case errors.Is(err, engine.ErrOverloaded), errors.Is(err, engine.ErrUnknownModel):
 		return
 	case errors.Is(err, engine.ErrBroken), errors.Is(err, errNoEnd):
-		if s.hasCrashed(ctx, engineID, addr) {
+		if s.hasCrashed(ctx, engineID, addr, run.Epoch()) {
 			s.metrics.crashes.Inc(1)
 			eventEngineCrashed.Log(ctx, s.opts.Logger, slog.String("engine", engineID))
 			run.Crashed(time.Now())
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -13,15 +13,21 @@
 // itself says nothing, so it is asked again.
 const crashChecks = 3
 
-// hasCrashed says whether an engine that broke a stream has restarted since or accepts no connections.
-func (s *Server) hasCrashed(ctx context.Context, engineID, addr string) bool {
-	known := s.epochs.get(engineID)
+// hasCrashed says whether an engine that broke a stream has restarted since or accepts no connections. known is the
+// hash of the epoch in which the stream began, 0 if it broke before the first frame.
+func (s *Server) hasCrashed(ctx context.Context, engineID, addr string, known uint64) bool {
+	if known == 0 {
+		known = s.epochs.get(engineID)
+	}
 	for range crashChecks {
 		state, err := s.engineState(ctx, addr)
 		switch {
 		case err == nil:
-			s.epochs.set(engineID, state.Epoch)
-			return known != "" && state.Epoch != known
+			epoch := engine.EpochHash(state.Epoch)
+			s.epochs.set(engineID, epoch)
+			// An unknown epoch counts as changed: the suspicion ends when the request finishes, but a crash that is
+			// not counted would let a request crash one more engine.
+			return epoch != known
 		case errors.Is(err, engine.ErrNotSent):
 			return true
 		}
@@ -46,10 +52,10 @@
 		defer s.leaving.Delete(engineID)
 		epoch := s.epochs.get(engineID)
 		if state, err := s.engineState(ctx, addr); err == nil {
-			epoch = state.Epoch
+			epoch = engine.EpochHash(state.Epoch)
 			s.epochs.set(engineID, epoch)
 		}
 		eventEngineLeaving.Log(ctx, s.opts.Logger, slog.String("engine", engineID))
-		s.opts.OnLeaving(engineID, engine.EpochHash(epoch))
+		s.opts.OnLeaving(engineID, epoch)
 	})
 }
--- a/entry/epoch_table.go
+++ b/entry/epoch_table.go
@@ -2,23 +2,23 @@
 
 import "sync"
 
-// epochTable holds the last start epoch seen of each engine. It is safe for concurrent use.
+// epochTable holds the hash of the last start epoch seen of each engine. It is safe for concurrent use.
 type epochTable struct {
 	mu   sync.Mutex
-	byID map[string]string
+	byID map[string]uint64
 }
 
-func (t *epochTable) get(engineID string) string {
+func (t *epochTable) get(engineID string) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.byID[engineID]
 }
 
-func (t *epochTable) set(engineID, epoch string) {
+func (t *epochTable) set(engineID string, epoch uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byID == nil {
-		t.byID = make(map[string]string)
+		t.byID = make(map[string]uint64)
 	}
 	t.byID[engineID] = epoch
 }
--- a/suspect/blame.go
+++ b/suspect/blame.go
@@ -31,7 +31,7 @@
 func (t *Table) blamed(now time.Time, r *Run) map[Fingerprint]bool {
 	suspects, others := make(map[Fingerprint]bool), make(map[Fingerprint]bool)
 	for run := range t.runs[r.engine] {
-		if run.judged || (run.epoch != "" && r.epoch != "" && run.epoch != r.epoch) {
+		if run.judged || (run.epoch != 0 && r.epoch != 0 && run.epoch != r.epoch) {
 			continue
 		}
 		run.judged = true
--- a/suspect/run.go
+++ b/suspect/run.go
@@ -7,18 +7,26 @@
 	table       *Table
 	fingerprint Fingerprint
 	engine      string
-	epoch       string
+	epoch       uint64 // hash of the engine's start epoch, 0 if unknown
 	judged      bool
 	ended       bool
 }
 
-// SetEpoch notes the engine's start epoch, so that a crash is not blamed on attempts that began after the restart.
-func (r *Run) SetEpoch(epoch string) {
+// SetEpoch notes the hash of the engine's start epoch, so that a crash is not blamed on attempts that began after the
+// restart.
+func (r *Run) SetEpoch(epoch uint64) {
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
 	r.epoch = epoch
 }
 
+// Epoch returns the hash of the engine's start epoch, 0 if unknown.
+func (r *Run) Epoch() uint64 {
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	return r.epoch
+}
+
 // Finished says that the request got its whole answer, which clears it. End must still be called.
 func (r *Run) Finished(now time.Time) { r.table.finished(now, r) }
 
