--- a/entry/call.go
+++ b/entry/call.go
@@ -81,7 +81,6 @@
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) ([]byte, *Error) {
 	limit := orDefault(c.doc.Network.MaxBodyBytes, defaultMaxBody)
 	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
 		return nil, tooLarge(limit)
 	}
 	control := http.NewResponseController(w)
@@ -95,7 +94,6 @@
 	case errors.As(err, &large):
 		return nil, tooLarge(limit)
 	}
-	w.Header().Set("Connection", "close")
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, notRun(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive within "+bodyTimeout.String())
 	}
--- a/entry/error.go
+++ b/entry/error.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -51,7 +52,9 @@
 
 // write answers with the error.
 func (e *Error) write(w http.ResponseWriter) {
+	body := append(e.body(), '\n')
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(e.Status)
-	w.Write(append(e.body(), '\n'))
+	w.Write(body)
 }
--- a/entry/inputs_test.go
+++ b/entry/inputs_test.go
@@ -45,6 +45,7 @@
 		"large body":          {chat(strings.Repeat("x", 9<<20)), nil, 413, "body_too_large"},
 		"many headers":        {chat(`{}`), many, 431, "too_many_headers"},
 		"wrong key":           {chat(`{}`), []string{"Authorization", "Bearer wrong"}, 401, "unauthorized"},
+		"wrong key, body":     {chat(strings.Repeat("x", 1<<20)), []string{"Authorization", "Bearer wrong"}, 401, "unauthorized"},
 		"bad deadline":        {chat(`{}`), []string{"Request-Deadline", "soon"}, 400, "bad_deadline"},
 		"long deadline":       {chat(`{}`), []string{"Request-Deadline", "999999999"}, 400, "bad_deadline"},
 		"expired deadline":    {chat(`{}`), []string{"Request-Deadline", "0"}, 504, "deadline_exceeded"},
--- a/entry/server.go
+++ b/entry/server.go
@@ -59,9 +59,11 @@
 	}
 	s.metrics.requests.Inc(1)
 	s.opts.Budget.Request()
+	body := &trackedBody{ReadCloser: r.Body}
+	r.Body = body
 	if err := s.serve(w, r, id); err != nil {
 		s.noteFailure(r.Context(), id, err)
-		err.write(w)
+		refuse(w, r, body, err)
 	}
 }
 
