admit: shares come before holding back; the usable capacity is learned from pressure

Cause: requests of a flooding workspace were held back beside the others' and took every place that became free; the number of engines does not tell when those of one role are full.

--- a/admit/fair.go
+++ b/admit/fair.go
@@ -8,16 +8,18 @@
 )
 
 const (
-	// pressureTime is how long shares stay in force after a request was refused as too late.
-	pressureTime = 5 * time.Second
+	// While requests are refused as too late or held back, the usable part of the capacity shrinks by usableCut each
+	// usableStep; otherwise it grows by usableGain a second. The engines of one role can be full while others are not,
+	// so the number of engines alone does not tell what can be done.
+	usableStep = 500 * time.Millisecond
+	usableCut  = 0.05
+	usableGain = 0.02
 	// rampTime is the time from the end of an outage until the whole capacity is used again, rampStart its first share.
 	// Callers repeat what failed, so the work of the whole outage can arrive at once.
 	rampTime  = 10 * time.Second
 	rampStart = 0.25
-	// probe lets the measured throughput grow, since shares would otherwise freeze it at what they let through.
-	probe = 1.1
-	// floor bounds the measured throughput from below, relative to the capacity.
-	floor = 0.25
+	// floor bounds the usable part from below.
+	floor = 0.5
 	// idleTime is the time after which a workspace without requests is forgotten.
 	idleTime = time.Minute
 	// minWeight and minCost keep a missing value from a division by zero.
@@ -33,7 +35,8 @@
 	outage   bool
 	ramp     time.Time // start of the ramp after an outage
 	ramping  share     // bucket of all workspaces during the ramp
-	pressed  time.Time // last refusal as too late
+	usable   float64   // part of the capacity that can be used, 0 to 1
+	adapted  time.Time // last change of usable
 	shares   map[string]*share
 	total    share // all that was offered
 	admitted share // all that was admitted
@@ -43,7 +46,7 @@
 var _ Admitter = (*Fair)(nil)
 
 // NewFair returns an admitter without known capacity.
-func NewFair() *Fair { return &Fair{shares: make(map[string]*share)} }
+func NewFair() *Fair { return &Fair{shares: make(map[string]*share), usable: 1} }
 
 // SetCapacity sets the work that this instance may admit: the number of engines that it can use, divided by the number
 // of instances that share them. Zero means an outage; after it, the admitted work grows from a quarter of the capacity.
@@ -67,7 +70,7 @@
 	s.offer(now, cost)
 	f.total.offer(now, cost)
 	if !req.Deadline.IsZero() && req.Estimate.After(req.Deadline) {
-		f.pressed = now
+		f.press(now)
 		return nil, ErrTooLate
 	}
 	if limit, limited := f.limit(now); limited {
@@ -90,7 +93,30 @@
 	defer f.mu.Unlock()
 	f.share(req).offer(now, max(req.Cost, minCost))
 	f.total.offer(now, max(req.Cost, minCost))
-	f.pressed = now
+	f.press(now)
+}
+
+// Pressed tells the admitter that routing holds a request back, which means that there is more work than can be done
+// in time.
+func (f *Fair) Pressed(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.press(now)
+}
+
+func (f *Fair) press(now time.Time) {
+	if f.relax(now); now.Sub(f.adapted) < usableStep {
+		return
+	}
+	f.usable, f.adapted = max(floor, f.usable*(1-usableCut)), now
+}
+
+// relax lets the usable part grow for the time without pressure.
+func (f *Fair) relax(now time.Time) {
+	if since := now.Sub(f.adapted); since > 2*usableStep {
+		f.usable = min(1, f.usable+usableGain*(since-usableStep).Seconds())
+		f.adapted = now.Add(-usableStep)
+	}
 }
 
 func (f *Fair) share(req *Request) *share {
@@ -111,14 +137,9 @@
 		progress := now.Sub(f.ramp).Seconds() / rampTime.Seconds()
 		return f.capacity * (rampStart + (1-rampStart)*progress), true
 	}
-	if !f.pressed.IsZero() && now.Sub(f.pressed) < pressureTime {
-		measured := max(probe*f.admitted.offered, floor*f.capacity, minCost)
-		if f.capacity > 0 {
-			measured = min(measured, f.capacity)
-		}
-		return measured, true
-	}
-	return f.capacity, f.capacity > 0 && f.total.offered > f.capacity
+	f.relax(now)
+	limit := f.usable * f.capacity
+	return limit, f.capacity > 0 && f.total.offered > limit
 }
 
 func (f *Fair) isRamping(now time.Time) bool { return !f.ramp.IsZero() && now.Sub(f.ramp) < rampTime }
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -63,9 +63,7 @@
 		return
 	}
 	if choice.Hold > 0 {
-		a.tries--
-		e.sim.after(choice.Hold, func() { e.try(a, first) })
-		return
+		e.fair.Pressed(now)
 	}
 	if first {
 		a.release, err = e.fair.Admit(now, &admit.Request{
@@ -77,6 +75,11 @@
 			return
 		}
 	}
+	if choice.Hold > 0 {
+		a.tries--
+		e.sim.after(choice.Hold, func() { e.try(a, false) })
+		return
+	}
 	a.choice = choice
 	e.table.Sent(now, choice, a.route)
 	if choice.PrefillID != "" {
