--- a/admit/admit.go
+++ b/admit/admit.go
@@ -25,9 +25,10 @@
 	Estimate time.Time
 }
 
-// LateObserver is an Admitter that also takes note of requests that routing refused as too late.
+// LateObserver is an Admitter that also takes note of requests that routing refused as too late or holds back.
 type LateObserver interface {
 	TooLate(now time.Time, req *Request)
+	Pressed(now time.Time)
 }
 
 // Admitter decides on requests. Implementations are safe for concurrent use.
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -17,6 +17,7 @@
 	"rhubarbpoint/claim"
 	"rhubarbpoint/config"
 	"rhubarbpoint/config/manager"
+	"rhubarbpoint/engine"
 	"rhubarbpoint/engine/httpengine"
 	"rhubarbpoint/entry"
 	"rhubarbpoint/member"
@@ -101,7 +102,7 @@
 // documents of peers, the membership gives the manager's document to peers.
 func (i *instance) addMembership() {
 	id := member.NewID(i.settings.Instance)
-	i.table = route.NewTable(route.Options{Region: i.settings.Region, Zone: i.settings.Zone, Seed: member.EpochHash(id)})
+	i.table = route.NewTable(route.Options{Region: i.settings.Region, Zone: i.settings.Zone, Seed: engine.EpochHash(id)})
 	i.upstreams = newUpstreams(i.table)
 	i.transport = peer.New(peer.Options{
 		Self: id, Logger: i.logger, Metrics: i.metrics,
--- a/entry/place.go
+++ b/entry/place.go
@@ -77,6 +77,9 @@
 		return choice, err
 	}
 	if choice.Hold > 0 {
+		if observer, ok := g.s.opts.Admitter.(admit.LateObserver); ok {
+			observer.Pressed(now)
+		}
 		return choice, nil
 	}
 	if len(avoid) > 0 || len(g.whole.Delivered()) > 0 {
--- a/member/condense.go
+++ b/member/condense.go
@@ -27,7 +27,7 @@
 // not name are left out.
 func condense(upstream string, r *engine.LoadReport, models map[string]uint32) *peerpb.UpstreamLoad {
 	l := &peerpb.UpstreamLoad{
-		Upstream: upstream, AtUnixMilli: r.At.UnixMilli(), EpochHash: EpochHash(r.Epoch),
+		Upstream: upstream, AtUnixMilli: r.At.UnixMilli(), EpochHash: engine.EpochHash(r.Epoch),
 		Running: count(r.Running), Waiting: count(r.Waiting), WaitingTokens: count(r.WaitingTokens),
 		ArrivalsMilli:          number(r.ArrivalsPerSecond * 1000),
 		PrefillTokensPerSecond: number(r.PrefillTokensPerSecond),
--- a/member/id.go
+++ b/member/id.go
@@ -18,14 +18,6 @@
 // beatHash is the upper 24 bits that stand for a member in a list of beats.
 func beatHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) &^ 0xff }
 
-// EpochHash condenses the epoch of an engine; 0 stands for an unknown epoch.
-func EpochHash(epoch string) uint64 {
-	if epoch == "" {
-		return 0
-	}
-	return xxhash.Sum64String(epoch)
-}
-
 // rendezvous returns the member with the highest hash for a key, or "" without members.
 func rendezvous(key string, ids []string) string {
 	best, bestHash := "", uint64(0)
