--- a/config/check.go
+++ b/config/check.go
@@ -148,6 +148,9 @@
 	for i, model := range m.Models {
 		path := fmt.Sprintf("models.models[%d]", i)
 		c.unique(names, model.Name, path+".name")
+		if model.PreviousVersion != "" && model.PreviousVersion == model.Version {
+			c.fault(path+".previous_version", model.PreviousVersion, "a version other than version")
+		}
 		adapters := make(map[string]string)
 		for j, adapter := range model.Adapters {
 			c.unique(adapters, adapter, fmt.Sprintf("%s.adapters[%d]", path, j))
--- a/config/models.go
+++ b/config/models.go
@@ -1,5 +1,7 @@
 package config
 
+import "slices"
+
 // Models is the section of the model team: the engines, the models with their versions, and the policy for roles.
 type Models struct {
 	// Engines lists the model replicas; IDs are unique over all upstreams and engines.
@@ -36,6 +38,9 @@
 	Name string `json:"name" required:"true" format:"label"`
 	// Version is the exact version that new requests run on.
 	Version string `json:"version" required:"true" format:"label"`
+	// PreviousVersion keeps an older version in service while engines load Version one after another: new requests are
+	// shared between the versions by the number of engines that have them. Remove it when all engines have Version.
+	PreviousVersion string `json:"previous_version,omitempty" format:"label"`
 	// Adapters are names of adapters to load beside the model, each once.
 	Adapters []string `json:"adapters,omitempty" format:"label"`
 	// ContextTokens is the longest prompt and answer together; 1,000 to 10,000,000. Default 128,000.
@@ -46,6 +51,26 @@
 	KVBytesPerToken int64 `json:"kv_bytes_per_token,omitempty" default:"100000" min:"1" max:"100000000"`
 }
 
+// Versions returns the versions of the model that engines shall serve, the newer one first.
+func (m *Model) Versions() []string {
+	if m.PreviousVersion == "" {
+		return []string{m.Version}
+	}
+	return []string{m.Version, m.PreviousVersion}
+}
+
+// VersionNames returns the sorted list of name@version of all models. Load records name models by their index in it.
+func (m *Models) VersionNames() []string {
+	var names []string
+	for i := range m.Models {
+		for _, version := range m.Models[i].Versions() {
+			names = append(names, m.Models[i].Name+"@"+version)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Roles is the policy for changes of engine roles.
 type Roles struct {
 	// Automatic lets the system change roles. Default false.
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -114,7 +114,9 @@
 	var want []string
 	for _, m := range models.Models {
 		if len(only) == 0 || slices.Contains(only, m.Name) {
-			want = append(want, m.Name+"@"+m.Version)
+			for _, version := range m.Versions() {
+				want = append(want, m.Name+"@"+version)
+			}
 		}
 	}
 	slices.Sort(want)
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -46,7 +46,8 @@
 	if !found {
 		return nil, notRun(http.StatusNotFound, codeUnknownModel, fmt.Sprintf("no model has the name %q", chat.Model))
 	}
-	prompt := engine.NewPrompt(model.Name, model.Version, chat.Messages)
+	version := s.chooseVersion(&model)
+	prompt := engine.NewPrompt(model.Name, version, chat.Messages)
 	room := orDefault(model.ContextTokens, defaultContext) - prompt.Tokens
 	maxTokens := chat.MaxTokens
 	if maxTokens == 0 {
@@ -63,10 +64,10 @@
 			Priority: c.workspace.Priority, Deadline: c.deadline, Params: chat.Params,
 		},
 		route: &route.Request{
-			ID: c.id, Model: model.Name, Version: model.Version, Pieces: prompt.Pieces, PromptTokens: prompt.Tokens,
+			ID: c.id, Model: model.Name, Version: version, Pieces: prompt.Pieces, PromptTokens: prompt.Tokens,
 			MaxTokens: maxTokens, Deadline: c.deadline, Exclude: make(map[string]bool),
 		},
-		whole:       stream.NewAssembler(c.id, model.Version, maxTokens),
+		whole:       stream.NewAssembler(c.id, version, maxTokens),
 		fingerprint: suspect.Of(c.workspace.Name, model.Name, chat.Messages),
 	}, nil
 }
@@ -155,10 +156,10 @@
 	if !found {
 		return failure(g.sent, http.StatusNotFound, codeUnknownModel, "the model was removed")
 	}
-	if model.Version != g.whole.Version() {
-		g.whole.SetVersion(model.Version)
-		g.route.Version = model.Version
-		g.route.Pieces = engine.NewPrompt(model.Name, model.Version, g.req.Messages).Pieces
+	if version := g.s.chooseVersion(&model); version != g.whole.Version() {
+		g.whole.SetVersion(version)
+		g.route.Version = version
+		g.route.Pieces = engine.NewPrompt(model.Name, version, g.req.Messages).Pieces
 	}
 	return nil
 }
--- a/internal/demo/chat.go
+++ b/internal/demo/chat.go
@@ -22,9 +22,12 @@
 }
 
 // Want returns the whole answer of the stand-in engines.
-func (c Chat) Want() string {
+func (c Chat) Want() string { return c.WantOf(fleet.ModelVersion) }
+
+// WantOf returns the whole answer of a version.
+func (c Chat) WantOf(version string) string {
 	return strings.Join(standin.Answer(&engine.Request{
-		Model: fleet.ModelName, Version: fleet.ModelVersion, Messages: c.Messages, MaxTokens: c.MaxTokens,
+		Model: fleet.ModelName, Version: version, Messages: c.Messages, MaxTokens: c.MaxTokens,
 	}), "")
 }
 
--- a/internal/fleet/main_test.go
+++ b/internal/fleet/main_test.go
@@ -34,10 +34,11 @@
 }
 
 // start runs a fleet of one region with three instances, three engines and one order service.
-func start(t *testing.T) (*gomega.WithT, *fleet.Fleet) {
+func start(t *testing.T, engineArgs ...string) (*gomega.WithT, *fleet.Fleet) {
 	g := gomega.NewWithT(t)
 	opts := fleet.Today(bin, t.TempDir())
 	opts.Regions = 1
+	opts.EngineArgs = append(opts.EngineArgs, engineArgs...)
 	f, err := fleet.Start(context.Background(), opts)
 	t.Cleanup(f.Stop)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/member/condense.go
+++ b/member/condense.go
@@ -11,13 +11,9 @@
 
 // modelIndexes numbers name@version of the document's models in sorted order, as load records name them.
 func modelIndexes(doc *config.Document) map[string]uint32 {
-	var names []string
-	for _, m := range doc.Models.Models {
-		names = append(names, m.Name+"@"+m.Version)
-	}
-	slices.Sort(names)
+	names := doc.Models.VersionNames()
 	indexes := make(map[string]uint32, len(names))
-	for i, name := range slices.Compact(names) {
+	for i, name := range names {
 		indexes[name] = uint32(i)
 	}
 	return indexes
--- a/route/table.go
+++ b/route/table.go
@@ -93,7 +93,7 @@
 	slices.SortFunc(engines, func(a, b *upstream) int { return compare(a.cfg.ID, b.cfg.ID) })
 	t.engines, t.byID = engines, byID
 	t.models = make(map[string]config.Model, len(doc.Models.Models))
-	t.versions = Versions(doc)
+	t.versions = doc.Models.VersionNames()
 	for _, m := range doc.Models.Models {
 		t.models[m.Name] = m
 	}
@@ -124,14 +124,17 @@
 	return n
 }
 
-// Versions returns the sorted list of name@version that load records index.
-func Versions(doc *config.Document) []string {
-	list := make([]string, 0, len(doc.Models.Models))
-	for _, m := range doc.Models.Models {
-		list = append(list, m.Name+"@"+m.Version)
+// Serving returns how many engines of the region can serve a version of a model.
+func (t *Table) Serving(now time.Time, model, version string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, u := range t.engines {
+		if u.local && t.usable(now, u, &Request{Model: model, Version: version}, true) {
+			n++
+		}
 	}
-	slices.Sort(list)
-	return list
+	return n
 }
 
 // UpdateLoad takes a load record. Records older than the known one are ignored.
