--- a/admit/fair.go
+++ b/admit/fair.go
@@ -170,7 +170,9 @@
 
 // State is a dump of the admitter. Rates are in seconds of one engine for each second.
 type State struct {
-	Capacity   float64            `json:"capacity"`
+	Capacity float64 `json:"capacity"`
+	// Usable is the part of the capacity that can be used, 0 to 1.
+	Usable     float64            `json:"usable"`
 	Limited    bool               `json:"limited"`
 	Offered    float64            `json:"offered"`
 	Admitted   float64            `json:"admitted"`
@@ -183,7 +185,7 @@
 	defer f.mu.Unlock()
 	_, limited := f.limit(now)
 	s := State{
-		Capacity: f.capacity, Limited: limited, Offered: f.total.offered, Admitted: f.admitted.offered,
+		Capacity: f.capacity, Usable: f.usable, Limited: limited, Offered: f.total.offered, Admitted: f.admitted.offered,
 		Workspaces: make(map[string]float64, len(f.shares)),
 	}
 	for name, share := range f.shares {
