route: a record of a leaving engine counts before the first report of that start

Cause: a pushed record that overtook the first load report of a new start was ignored, and the engine got new work until its report showed that it drains. Ruled out: ordering the epochs, which are hashes. A record of an earlier start now excludes the engine until its next report, about a second.

--- a/route/state.go
+++ b/route/state.go
@@ -40,7 +40,8 @@
 // State is a dump of a table.
 type State struct {
 	Engines []EngineState `json:"engines"`
-	// UnmetPrefill and UnmetDecode are the rates of work refused as too late by this instance, in tokens/s.
+	// UnmetPrefill and UnmetDecode are the rates of work that this instance held back, refused as too late or
+	// sent to another region, in tokens/s.
 	UnmetPrefill float64 `json:"unmet_prefill_tokens_per_second"`
 	UnmetDecode  float64 `json:"unmet_decode_tokens_per_second"`
 }
--- a/route/table.go
+++ b/route/table.go
@@ -184,15 +184,14 @@
 	}
 }
 
-// SetLeaving excludes an engine from new work until a start with another epoch is reported.
+// SetLeaving excludes an engine from new work until a start with another epoch is reported. A record of a start that no
+// load report has shown yet counts at once; a record of an earlier start excludes the engine until its next report.
 func (t *Table) SetLeaving(id string, epochHash uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u := t.byID[id]
-	if u == nil || (u.load != nil && u.load.EpochHash != epochHash) {
-		return // the record speaks of an earlier start
+	if u := t.byID[id]; u != nil {
+		u.leaving, u.leavingEpoch = true, epochHash
 	}
-	u.leaving, u.leavingEpoch = true, epochHash
 }
 
 // SetPlanned excludes an engine from new work for a planned change until the given time, or until a load report shows
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -93,6 +93,10 @@
 	table.SetLeaving("r1a", 1)
 	_, err := table.Pick(epoch, testRequest("1"))
 	g.Expect(err).To(gomega.MatchError(ErrNoEngine))
+	same := idle("r1a", epoch.Add(time.Millisecond), engine.RoleMixed)
+	table.UpdateLoad(epoch.Add(time.Millisecond), same)
+	_, err = table.Pick(epoch.Add(time.Millisecond), testRequest("1"))
+	g.Expect(err).To(gomega.MatchError(ErrNoEngine))
 	load := idle("r1a", epoch.Add(time.Second), engine.RoleMixed)
 	load.EpochHash = 2
 	table.UpdateLoad(epoch.Add(time.Second), load)
@@ -206,3 +210,17 @@
 	}
 	g.Expect(m.predict(64, 1)).To(gomega.BeNumerically("~", 0.058, 0.002))
 }
+
+// Guards against a record of a leaving engine that is ignored because it overtook the first report of that start.
+func TestLeavingBeforeFirstReport(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := testTable("r1a")
+	table.SetLeaving("r1a", 2)
+	_, err := table.Pick(epoch, testRequest("1"))
+	g.Expect(err).To(gomega.MatchError(ErrNoEngine))
+	load := idle("r1a", epoch.Add(time.Second), engine.RoleMixed)
+	load.EpochHash = 2
+	table.UpdateLoad(epoch.Add(time.Second), load)
+	_, err = table.Pick(epoch.Add(time.Second), testRequest("2"))
+	g.Expect(err).To(gomega.MatchError(ErrNoEngine))
+}
