Change model versions without refused requests

Cause: an edit that names a new version left no engine with that version, so requests were refused as no_engine until the first engine had loaded it. Without reports the older one is used.

Ruled out: unloading is not the cause; engines keep the old version. The stand-in engine reported no load while idle, so the controller gave an idle engine up as removed; it now reports the present time less the lag.

--- a/entry/place.go
+++ b/entry/place.go
@@ -29,6 +29,9 @@
 		if errors.Is(err, errUnwanted) && (waited || len(avoid) == 0) {
 			err = nil
 		}
+		if err == nil {
+			err = g.admit(now, choice)
+		}
 		if err == nil && choice.Hold > 0 {
 			if !pause(ctx, choice.Hold) {
 				return route.Choice{}, nil, context.Cause(ctx)
@@ -36,11 +39,9 @@
 			continue
 		}
 		if err == nil {
-			if err = g.admit(now, choice); err == nil {
-				var run *suspect.Run
-				if run, err = suspects.Begin(now, choice.EngineID, g.fingerprint); err == nil {
-					return choice, run, nil
-				}
+			var run *suspect.Run
+			if run, err = suspects.Begin(now, choice.EngineID, g.fingerprint); err == nil {
+				return choice, run, nil
 			}
 		}
 		// An engine that other suspects keep from this one can become free.
--- a/entry/version.go
+++ b/entry/version.go
@@ -25,8 +25,9 @@
 	previous := counter.Serving(now, model.Name, model.PreviousVersion)
 	// Engines that have both versions count for the current one only.
 	previous = max(previous-current, 0)
-	if current+previous == 0 || rand.IntN(current+previous) < current {
-		return model.Version
+	// Without any report, the older version is the one that engines have for certain.
+	if current+previous == 0 || rand.IntN(current+previous) >= current {
+		return model.PreviousVersion
 	}
-	return model.PreviousVersion
+	return model.Version
 }
--- a/internal/fleet/main_test.go
+++ b/internal/fleet/main_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -40,10 +41,26 @@
 	opts.Regions = 1
 	opts.EngineArgs = append(opts.EngineArgs, engineArgs...)
 	f, err := fleet.Start(context.Background(), opts)
-	t.Cleanup(f.Stop)
+	t.Cleanup(func() {
+		f.Stop()
+		if t.Failed() {
+			showLogs(t, opts.Dir)
+		}
+	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	return g, f
 }
 
+// shownLog is how much of the end of each instance's log a failed test shows.
+const shownLog = 4000
+
+func showLogs(t *testing.T, dir string) {
+	paths, _ := filepath.Glob(filepath.Join(dir, "entry-*.log"))
+	for _, path := range paths {
+		data, _ := os.ReadFile(path)
+		t.Logf("%s:\n%s", filepath.Base(path), data[max(0, len(data)-shownLog):])
+	}
+}
+
 // long is how long a test waits for what must happen at some time; the promised times are checked in virtual time.
 const long = 60 * time.Second
--- a/internal/fleet/version_test.go
+++ b/internal/fleet/version_test.go
@@ -60,7 +60,7 @@
 			state, err := httpengine.New().State(context.Background(), n.Address)
 			want := engine.LoadedModel{Name: fleet.ModelName, Version: newVersion}
 			return err == nil && slices.Contains(state.Models, want), nil
-		}, 2*long, time.Second).Should(gomega.BeTrue(), n.ID)
+		}, long, time.Second).Should(gomega.BeTrue(), n.ID)
 	}
 	stop.Store(true)
 	g.Expect(<-finished).To(gomega.BeNumerically(">", 10))
--- a/internal/standin/engine/report_log.go
+++ b/internal/standin/engine/report_log.go
@@ -19,10 +19,15 @@
 	l.prune(report.At, lag)
 }
 
-// shown returns the newest report that is at least as old as the lag, or the oldest one.
+// shown returns the newest report that is at least as old as the lag, or the oldest one. A load that has not changed
+// since is still the load, so an idle engine reports the present time less the lag.
 func (l *reportLog) shown(now time.Time, lag time.Duration) engine.LoadReport {
 	l.prune(now, lag)
-	return l.reports[0]
+	report := l.reports[0]
+	if shown := now.Add(-lag); shown.After(report.At) {
+		report.At = shown
+	}
+	return report
 }
 
 func (l *reportLog) prune(now time.Time, lag time.Duration) {
--- a/route/table.go
+++ b/route/table.go
@@ -124,13 +124,13 @@
 	return n
 }
 
-// Serving returns how many engines of the region can serve a version of a model.
+// Serving returns how many engines of the region report that they can serve a version of a model.
 func (t *Table) Serving(now time.Time, model, version string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for _, u := range t.engines {
-		if u.local && t.usable(now, u, &Request{Model: model, Version: version}, true) {
+		if u.local && u.fresh(now) && t.usable(now, u, &Request{Model: model, Version: version}, true) {
 			n++
 		}
 	}
