--- a/entry/recorder.go
+++ b/entry/recorder.go
@@ -1,24 +1,28 @@
 package entry
 
 import (
+	"strconv"
 	"time"
 
 	"rhubarbpoint/engine"
 )
 
-// Record describes a model request for a trace. Times are in milliseconds.
+// Record describes a model request in the trace format of docs/traces.md.
 type Record struct {
-	// ArrivalMillis counts from the start of the Unix epoch.
-	ArrivalMillis int64  `json:"arrival_ms"`
-	Workload      string `json:"workload"`
-	Workspace     string `json:"workspace"`
-	Model         string `json:"model"`
-	PromptTokens  int    `json:"prompt_tokens"`
-	// Blocks are the hashes of the prompt's prefixes, one for each full block of 4,000 tokens.
-	Blocks       []uint64 `json:"blocks"`
-	OutputTokens int      `json:"output_tokens"`
+	// AtMillis is the arrival, counted from the start of the Unix epoch.
+	AtMillis     float64 `json:"at_ms"`
+	Workload     string  `json:"workload"`
+	Workspace    string  `json:"workspace"`
+	Model        string  `json:"model"`
+	Region       string  `json:"region"`
+	PromptTokens int     `json:"prompt_tokens"`
+	// Prefix lists the hashes of the prompt's prefixes, one for each full block of 4,000 tokens, in hexadecimal digits.
+	Prefix []string `json:"prefix,omitempty"`
+	// OutputTokens is the length of the answer, or the request's limit when it got no token.
+	OutputTokens int `json:"output_tokens"`
+	MaxTokens    int `json:"max_tokens"`
 	// DeadlineMillis counts from the arrival.
-	DeadlineMillis int64 `json:"deadline_ms"`
+	DeadlineMillis float64 `json:"deadline_ms"`
 }
 
 // Recorder keeps records. Implementations are safe for concurrent use and do not block.
@@ -40,9 +44,17 @@
 		workload = defaultWorkload
 	}
 	prompt := engine.NewPrompt(g.req.Model, g.whole.Version(), g.req.Messages)
-	s.opts.Recorder.Record(Record{
-		ArrivalMillis: c.arrived.UnixMilli(), Workload: workload, Workspace: c.workspace.Name, Model: g.req.Model,
-		PromptTokens: prompt.Tokens, Blocks: append([]uint64{}, prompt.Pieces...), OutputTokens: len(g.whole.Delivered()),
-		DeadlineMillis: c.deadline.Sub(c.arrived).Round(time.Millisecond).Milliseconds(),
-	})
+	r := Record{
+		AtMillis: float64(c.arrived.UnixMilli()), Workload: workload, Workspace: c.workspace.Name, Model: g.req.Model,
+		Region: s.opts.Region, PromptTokens: prompt.Tokens, OutputTokens: len(g.whole.Delivered()),
+		MaxTokens:      g.req.MaxTokens,
+		DeadlineMillis: float64(c.deadline.Sub(c.arrived).Round(time.Millisecond).Milliseconds()),
+	}
+	if r.OutputTokens == 0 {
+		r.OutputTokens = r.MaxTokens
+	}
+	for _, piece := range prompt.Pieces {
+		r.Prefix = append(r.Prefix, strconv.FormatUint(piece, 16))
+	}
+	s.opts.Recorder.Record(r)
 }
