--- a/member/options.go
+++ b/member/options.go
@@ -36,7 +36,10 @@
 	// randomPeerTime is how long the randomly chosen peers are kept, so that not every heartbeat dials a session.
 	randomPeerTime    = 30 * time.Second
 	directoryInterval = 10 * time.Second
-	probeInterval     = 5 * time.Second
+	// directoryReaders instances of each zone read the instance list at directoryInterval, the others rarely.
+	directoryReaders      = 2
+	directoryRareInterval = 5 * time.Minute
+	probeInterval         = 5 * time.Second
 	// probeMemory is how long the address of a dropped member is tried again: a region can be cut off for an hour.
 	probeMemory    = 2 * time.Hour
 	maxDropped     = 1024
--- a/member/upstreams.go
+++ b/member/upstreams.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rhubarbpoint/peer/peerpb"
 	"rhubarbpoint/topo"
 )
@@ -79,11 +81,30 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(jitter(directoryInterval)):
+		case <-time.After(jitter(s.directoryWait(time.Now()))):
 		}
 	}
 }
 
+// directoryWait returns the time until this instance reads the instance list again. Two instances of a zone read it
+// often and tell the others what they find; at 1,180 rows, reading it by all would cost each of them 14 KB/s. The others
+// read it now and then, in case both have lost the platform only.
+func (s *Service) directoryWait(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := xxhash.Sum64String("list/" + s.opts.ID)
+	higher := 0
+	for _, m := range s.live(func(m *peerpb.Member, p *presence) bool { return !s.suspected(m.GetId(), p, now) }) {
+		if m.GetZone() == s.opts.Zone && m.GetRegion() == s.opts.Region && xxhash.Sum64String("list/"+m.GetId()) > own {
+			higher++
+		}
+	}
+	if higher < directoryReaders {
+		return directoryInterval
+	}
+	return directoryRareInterval
+}
+
 func (s *Service) takeDirectory(instances []topo.Instance) {
 	upstreams := s.upstreamIDs()
 	var addresses, leaving []string
@@ -114,6 +135,11 @@
 		for _, e := range doc.Models.Engines {
 			ids[e.Address] = e.ID
 		}
+		for _, service := range doc.Orders.Services {
+			for _, replica := range service.Upstreams {
+				ids[replica.Address] = replica.ID
+			}
+		}
 	}
 	return ids
 }
