--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,14 @@
 bench:
 	$(GO) run ./cmd/bench -seed $(SEED) $(if $(TRACE),-trace "$(TRACE)")
 
+# Fuzzes each decoder that reads from outside for FUZZTIME.
+FUZZTIME ?= 20s
+fuzz:
+	$(GO) test ./config -run xxx -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	$(GO) test ./entry -run xxx -fuzz FuzzDecodeChat -fuzztime $(FUZZTIME)
+	$(GO) test ./engine/httpengine -run xxx -fuzz FuzzFrames -fuzztime $(FUZZTIME)
+	$(GO) test ./peer -run xxx -fuzz FuzzReadFrame -fuzztime $(FUZZTIME)
+
 clean:
 	rm -rf bin bench/out
 
--- a/authority/apply.go
+++ b/authority/apply.go
@@ -10,6 +10,7 @@
 
 	"rhubarbpoint/config"
 	"rhubarbpoint/engine"
+	"rhubarbpoint/internal/sleep"
 )
 
 const (
@@ -110,7 +111,7 @@
 	record := entry.Record
 	record.State = state
 	for range recordTries {
-		if _, err := h.journal.write(t.ctx, entry, record); err == nil || !pause(t.ctx, retryPause) {
+		if _, err := h.journal.write(t.ctx, entry, record); err == nil || !sleep.For(t.ctx, retryPause) {
 			return
 		}
 	}
--- a/authority/gate.go
+++ b/authority/gate.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rhubarbpoint/engine"
+	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/peer/peerpb"
 	"rhubarbpoint/topo"
 )
@@ -189,7 +190,7 @@
 				return nil
 			}
 		}
-		if !pause(ctx, retryPause) {
+		if !sleep.For(ctx, retryPause) {
 			return errors.Wrapf(err, "authority: hand over %s", id)
 		}
 	}
--- a/authority/holder.go
+++ b/authority/holder.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/topo"
 )
 
@@ -70,12 +71,12 @@
 func (h *Holder) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !h.isCandidate() {
-			pause(ctx, standbyPause)
+			sleep.For(ctx, standbyPause)
 			continue
 		}
 		t, err := h.campaign(ctx)
 		if err != nil {
-			pause(ctx, retryPause/2+rand.N(retryPause))
+			sleep.For(ctx, retryPause/2+rand.N(retryPause))
 			continue
 		}
 		if t == nil {
@@ -159,14 +160,14 @@
 	entry, err := h.opts.Store.Get(get, authorityKey(h.opts.Region))
 	if err != nil {
 		if !errors.Is(err, topo.ErrNotFound) {
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 		}
 		return
 	}
 	watch, cancelWatch := context.WithTimeout(ctx, watchTimeout)
 	defer cancelWatch()
 	if _, _, err := h.opts.Store.Watch(watch, entry.Key, entry.Revision, watchWait); err != nil {
-		pause(ctx, retryPause)
+		sleep.For(ctx, retryPause)
 	}
 }
 
@@ -213,7 +214,7 @@
 func (h *Holder) keep(ctx context.Context, t *term) (lost bool) {
 	wait := keepAliveEvery
 	for {
-		if !pause(ctx, min(wait, time.Until(t.until()))) {
+		if !sleep.For(ctx, min(wait, time.Until(t.until()))) {
 			return false
 		}
 		sent := time.Now()
@@ -272,15 +273,3 @@
 	delete(h.working, engineID)
 	h.orders.Done()
 }
-
-// pause waits and returns false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/authority/reconcile.go
+++ b/authority/reconcile.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rhubarbpoint/config"
+	"rhubarbpoint/internal/sleep"
 )
 
 const (
@@ -27,7 +28,7 @@
 func (h *Holder) reconcileLoop(t *term) {
 	for {
 		h.reconcile(t)
-		if !pause(t.ctx, reconcileEvery) {
+		if !sleep.For(t.ctx, reconcileEvery) {
 			return
 		}
 	}
@@ -135,7 +136,7 @@
 		case time.Since(started) >= settleTime:
 			return false, nil
 		}
-		if !pause(ctx, settlePoll) {
+		if !sleep.For(ctx, settlePoll) {
 			return false, ctx.Err()
 		}
 	}
--- a/claim/foreign.go
+++ b/claim/foreign.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/peer"
 	"rhubarbpoint/peer/peerpb"
 )
@@ -50,7 +51,7 @@
 			return nil, nil, false
 		case err != nil:
 			failures++
-			pause(ctx, ownerPause<<failures)
+			sleep.For(ctx, ownerPause<<failures)
 		case outcome.GetPending():
 			failures = 0
 		case !outcome.GetKnown():
--- a/claim/place.go
+++ b/claim/place.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/peer"
 	"rhubarbpoint/peer/peerpb"
 	"rhubarbpoint/topo"
@@ -67,7 +68,7 @@
 		if err == nil || errors.Is(err, errExpired) || errors.Is(err, topo.ErrTooLarge) {
 			return standing, err
 		}
-		if !pause(ctx, minBackoff/2+rand.N(minBackoff)) {
+		if !sleep.For(ctx, minBackoff/2+rand.N(minBackoff)) {
 			return nil, ctx.Err()
 		}
 		if c.ctx.Err() != nil {
@@ -133,15 +134,3 @@
 	}
 	return err
 }
-
-// pause waits and returns false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/config/manager/edit.go
+++ b/config/manager/edit.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"rhubarbpoint/config"
+	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/internal/strict"
 	"rhubarbpoint/topo"
 )
@@ -95,7 +96,7 @@
 		if done {
 			return version, err
 		}
-		if !sleep(ctx, jitter(a.retry)) {
+		if !sleep.For(ctx, jitter(a.retry)) {
 			return 0, a.giveUp(err)
 		}
 		a.retry = min(2*a.retry, maxEditRetry)
--- a/config/manager/follow.go
+++ b/config/manager/follow.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/topo"
 )
 
@@ -44,7 +45,7 @@
 		if !m.Ready() {
 			wait, retry = retry, min(2*retry, maxRetry)
 		}
-		if !sleep(ctx, jitter(wait)) {
+		if !sleep.For(ctx, jitter(wait)) {
 			return
 		}
 	}
@@ -63,7 +64,7 @@
 				wait, retry = jitter(retry), min(max(2*retry, minRetry), maxRetry)
 			}
 		}
-		if !sleep(ctx, wait) {
+		if !sleep.For(ctx, wait) {
 			return
 		}
 	}
@@ -72,9 +73,12 @@
 // read takes what has changed since the last revision seen, waiting for it if wait is not 0. The store then sends the
 // document only if it has changed, where a plain read each minute would cost more traffic than all edits of a day.
 func (m *Manager) read(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	entries, _, err := m.opts.Store.Watch(ctx, Key, m.cursor(), wait)
+	entries, _, err := m.opts.Store.Watch(call, Key, m.cursor(), wait)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	m.noteRead(err)
 	for _, e := range entries {
 		if e.Key == Key {
--- a/config/manager/manager.go
+++ b/config/manager/manager.go
@@ -229,15 +229,3 @@
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
 }
-
-// sleep returns false when the context has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/config/manager/seed.go
+++ b/config/manager/seed.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"rhubarbpoint/config"
+	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/topo"
 )
 
@@ -42,7 +43,7 @@
 		if done {
 			return err
 		}
-		if !sleep(ctx, jitter(a.retry)) {
+		if !sleep.For(ctx, jitter(a.retry)) {
 			return a.giveUp(err)
 		}
 		a.retry = min(2*a.retry, maxEditRetry)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/onsi/gomega"
 
+	"rhubarbpoint/config"
 	"rhubarbpoint/internal/event"
 	"rhubarbpoint/peer/peerpb"
+	"rhubarbpoint/settings"
 	"rhubarbpoint/topo"
 	"rhubarbpoint/topo/memtopo"
 )
@@ -47,6 +49,17 @@
 	g.Expect(string(page)).To(gomega.Equal(want.String()), "run make generate")
 }
 
+// Guards against examples of the README that a process refuses.
+func TestExamplesAreValid(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := settings.Load("../examples/settings.json")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	document, err := os.ReadFile("../examples/configuration.json")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = config.Decode(document)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
 type fixedView []*peerpb.Member
 
 func (fixedView) Self() string             { return "self" }
--- a/entry/place.go
+++ b/entry/place.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rhubarbpoint/admit"
+	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/route"
 	"rhubarbpoint/suspect"
 )
@@ -33,7 +34,7 @@
 			err = g.admit(now, choice)
 		}
 		if err == nil && choice.Hold > 0 {
-			if !pause(ctx, choice.Hold) {
+			if !sleep.For(ctx, choice.Hold) {
 				return route.Choice{}, nil, context.Cause(ctx)
 			}
 			continue
@@ -138,15 +139,3 @@
 		observer.TooLate(now, g.admission(now))
 	}
 }
-
-// pause returns false when the context has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/role/controller/controller.go
+++ b/role/controller/controller.go
@@ -196,7 +196,7 @@
 }
 
 // versionJob returns the next change of models, or nil. Engines whose absence leaves both kinds of work with another
-// engine come first; an engine without such a deputy follows when only such engines are left.
+// engine come first; an engine without such an alternative follows when only such engines are left.
 func (c *Controller) versionJob(now time.Time, view *View) *job {
 	var last *Engine
 	for i := range view.Engines {
@@ -204,7 +204,7 @@
 		if !e.Usable || now.Before(c.retryAt[e.ID]) || !differs(e) {
 			continue
 		}
-		if hasDeputies(view, e) {
+		if hasAlternatives(view, e) {
 			return c.loadJob(e)
 		}
 		if last == nil {
@@ -217,7 +217,7 @@
 	return c.loadJob(last)
 }
 
-// changing says whether an engine is away that may come back as a deputy.
+// changing says whether an engine is away that may come back as an alternative.
 func changing(view *View) bool {
 	return slices.ContainsFunc(view.Engines, func(e Engine) bool { return !e.Usable && !e.Reported.IsZero() })
 }
@@ -226,7 +226,7 @@
 	return len(missing(e.Want, e.Models)) > 0 || len(missing(e.Models, e.Want)) > 0
 }
 
-func hasDeputies(view *View, e *Engine) bool {
+func hasAlternatives(view *View, e *Engine) bool {
 	var prefill, decode bool
 	for i := range view.Engines {
 		other := &view.Engines[i]
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -11,7 +11,7 @@
 const (
 	// arrivalWindow is the time over which own sends are compared with the engine's reported arrivals.
 	arrivalWindow = 5 * time.Second
-	// loadExpiry is the age from which a load report says nothing; its poller and its deputies are gone.
+	// loadExpiry is the age from which a load report says nothing; its poller and the replacement of that are gone.
 	loadExpiry = 30 * time.Second
 	// refusedFor keeps an engine without a report of its own out of the choice after a failed attempt.
 	refusedFor = 10 * time.Second
