--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
 	"rhubarbpoint/internal/standin/platform"
@@ -37,13 +38,19 @@
 	f.Uint64Var(&c.opts.Seed, "seed", 1, "seed of the choice of calls that get a fault")
 }
 
-func (c *platformCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	l, err := net.Listen("tcp", c.listen)
-	if err == nil {
-		fmt.Println("platform listening on", l.Addr())
-		silent := platform.NewListener(l)
-		err = http.Serve(silent, platform.New(c.opts).HandlerOn(silent))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
 	}
-	fmt.Fprintln(os.Stderr, err)
-	return subcommands.ExitFailure
+	fmt.Println("platform listening on", l.Addr())
+	silent := platform.NewListener(l)
+	server := &http.Server{Handler: platform.New(c.opts).HandlerOn(silent)}
+	context.AfterFunc(ctx, func() { server.Close() })
+	if err := server.Serve(silent); !errors.Is(err, http.ErrServerClosed) {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
 }
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -7,15 +7,15 @@
 )
 
 var (
-	eventStarted = event.New(1000, "instance_started", slog.LevelInfo,
+	eventStarted = event.New(1000, "instance started", slog.LevelInfo,
 		"The process has opened its listeners. Readiness follows once it has a configuration.")
-	eventStopping = event.New(1001, "instance_stopping", slog.LevelInfo,
+	eventStopping = event.New(1001, "instance stopping", slog.LevelInfo,
 		"A graceful stop has begun: no longer ready, requests in flight are finished.")
-	eventStopped = event.New(1002, "instance_stopped", slog.LevelInfo,
+	eventStopped = event.New(1002, "instance stopped", slog.LevelInfo,
 		"The process ends.")
-	eventListenerFailed = event.New(1003, "listener_failed", slog.LevelError,
+	eventListenerFailed = event.New(1003, "listener failed", slog.LevelError,
 		"A listener failed. The instance stops gracefully.")
-	eventGateKept = event.New(1004, "gate_not_handed_over", slog.LevelWarn,
+	eventGateKept = event.New(1004, "gate not handed over", slog.LevelWarn,
 		"Some engines keep this process as their gate. Their orders are suspended until the instance list no longer "+
 			"shows it.")
 )
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -29,6 +29,7 @@
 		Bin: bin, Dir: dir,
 		Regions: 3, EntriesPerRegion: 3, EnginesPerRegion: 3, ServicesPerRegion: 1,
 		ListLag: 2 * time.Second, DrainDelay: 2 * time.Second,
-		EngineArgs: []string{"-models", ModelName + "@" + ModelVersion, "-prefill-rate", "80000", "-step", "10ms"},
+		AutomaticRoles: true,
+		EngineArgs:     []string{"-models", ModelName + "@" + ModelVersion, "-prefill-rate", "80000", "-step", "10ms"},
 	}
 }
