--- /dev/null
+++ b/route/candidates.go
@@ -0,0 +1,107 @@
+package route
+
+import (
+	"time"
+)
+
+// options lists the ways to run the request within the region.
+func (t *Table) options(now time.Time, req *Request, lastResort bool) []option {
+	whole, prefill, decode, fallback := t.scratch.whole[:0], t.scratch.prefill[:0], t.scratch.decode[:0], t.scratch.fallback[:0]
+	for _, u := range t.engines {
+		if !u.local || !t.usable(now, u, req, lastResort) {
+			continue
+		}
+		p := t.place(now, u, req)
+		switch {
+		case u.load == nil || u.load.Role == roleMixed:
+			whole, prefill, decode = append(whole, p), append(prefill, p), append(decode, p)
+		case u.load.Role == rolePrefill:
+			prefill, fallback = append(prefill, p), append(fallback, p)
+		default:
+			whole, decode = append(whole, p), append(decode, p)
+		}
+	}
+	t.scratch.whole, t.scratch.prefill, t.scratch.decode, t.scratch.fallback = whole, prefill, decode, fallback
+	if len(whole) == 0 {
+		whole = fallback
+	}
+	options := t.scratch.options[:0]
+	for i := range whole {
+		options = append(options, t.wholeOption(req, &whole[i], localLatency))
+	}
+	keepBest(&prefill, func(p *place) float64 { return p.prefill + p.harm })
+	keepBest(&decode, func(p *place) float64 { return p.seat + p.crowd })
+	for i := range prefill {
+		for j := range decode {
+			if prefill[i].u != decode[j].u {
+				options = append(options, t.pairOption(req, &prefill[i], &decode[j]))
+			}
+		}
+	}
+	t.scratch.options = options
+	return options
+}
+
+// keepBest moves the cheapest places to the front and cuts off the rest.
+func keepBest(places *[]place, cost func(*place) float64) {
+	list := *places
+	if len(list) <= pairCandidates {
+		return
+	}
+	for i := range pairCandidates {
+		best, least := i, cost(&list[i])
+		for j := i + 1; j < len(list); j++ {
+			if c := cost(&list[j]); c < least {
+				best, least = j, c
+			}
+		}
+		list[i], list[best] = list[best], list[i]
+	}
+	*places = list[:pairCandidates]
+}
+
+func (t *Table) wholeOption(req *Request, p *place, latency time.Duration) option {
+	first := 2*latency.Seconds() + p.prefill + p.seat + p.step
+	return option{
+		decode:  p.u,
+		first:   first,
+		finish:  first + t.answerLength(req)*p.step,
+		cost:    p.uncached/p.state.rate + t.answerLength(req)*p.step/p.state.maximum,
+		score:   first + t.late(first) + p.harm + p.crowd + p.load,
+		doubt:   p.state.doubt,
+		todo:    p.uncached,
+		queue:   p.state.waiting/p.state.rate + p.seat,
+		slow:    p.step > sureStep*t.target.between && t.answerLength(req) > 1,
+		full:    p.state.running > p.state.maximum/2,
+		share:   p.state.share,
+		crowded: p.state.running > holdBatch*p.state.maximum,
+	}
+}
+
+func (t *Table) pairOption(req *Request, p, d *place) option {
+	size := float64(t.kvBytes(req.Model)) * float64(req.PromptTokens)
+	transfer := size/localKVBytesPerSecond + localLatency.Seconds()
+	first := 2*localLatency.Seconds() + p.prefill + transfer + d.seat + d.step
+	return option{
+		prefill: p.u,
+		decode:  d.u,
+		first:   first,
+		finish:  first + t.answerLength(req)*d.step,
+		cost:    p.uncached/p.state.rate + t.answerLength(req)*d.step/d.state.maximum,
+		score:   first + t.late(first) + p.harm + d.crowd + p.load,
+		doubt:   p.state.doubt,
+		todo:    p.uncached,
+		queue:   p.state.waiting/p.state.rate + d.seat,
+		slow:    d.step > sureStep*t.target.between && t.answerLength(req) > 1,
+		full:    d.state.running > d.state.maximum/2,
+		share:   max(p.state.share, d.state.share),
+		crowded: d.state.running > holdBatch*d.state.maximum,
+	}
+}
+
+func (t *Table) kvBytes(model string) int64 {
+	if b := t.models[model].KVBytesPerToken; b > 0 {
+		return b
+	}
+	return defaultKVBytesPerToken
+}
