--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -19,6 +19,7 @@
 	state.Register("member", func() any { return i.member.Dump() })
 	state.Register("entry", func() any { return i.server.State(time.Now()) })
 	state.Register("route", func() any { return i.table.State(time.Now()) })
+	state.Register("admit", func() any { return i.capacity.fair.State(time.Now()) })
 	if i.claimer != nil {
 		state.Register("claim", func() any { return i.claimer.Dump() })
 		state.Register("authority/holder", func() any { return i.holder.Dump() })
