--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 generate:
 	$(GO) generate ./...
-	$(GO) test ./internal/docgen ./daemon -run 'IsCurrent|TestCatalogue' -update
+	$(GO) test ./internal/docgen ./daemon -run 'IsCurrent|TestDaemon' -update
 
 # Replays traces under all policies: make bench SEED=7, or make bench TRACE=file.
 SEED ?= 1
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"rhubarbpoint/settings"
@@ -12,21 +13,25 @@
 const valid = `{"instance":"i1","region":"west","zone":"a","caller_listen":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
 "operator_listen":"127.0.0.1:3","platform":"127.0.0.1:4"}`
 
+func TestSettings(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Settings")
+}
+
 // Guards against settings of an instance that cannot run, and against a report of only one of several faults.
-func TestParseReportsAllFaults(t *testing.T) {
-	g := gomega.NewWithT(t)
+var _ = ginkgo.It("reports all faults at once", func() {
 	s, err := settings.Parse([]byte(valid))
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(s.DrainDelay.String()).To(gomega.Equal("5s"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(s.DrainDelay.String()).To(gomega.Equal("5s"))
 	s, err = settings.Parse([]byte(strings.NewReplacer(`"zone":"a",`, ``, `.1:2`, `.1:1`, `.1:3`, `.1:0`, `"platform":"127.0.0.1:4"`,
 		`"drain":"1s","peers":["x"]`).Replace(valid)))
-	g.Expect(s).To(gomega.BeNil())
-	g.Expect(err).To(gomega.MatchError(settings.ErrInvalid))
+	gomega.Expect(s).To(gomega.BeNil())
+	gomega.Expect(err).To(gomega.MatchError(settings.ErrInvalid))
 	var paths []string
 	for _, f := range err.(*settings.InvalidError).Faults {
 		paths = append(paths, f.Path)
 	}
-	g.Expect(paths).To(gomega.Equal([]string{"operator_listen", "drain", "peers[0]", "zone", "peer_listen", "platform"}))
+	gomega.Expect(paths).To(gomega.Equal([]string{"operator_listen", "drain", "peers[0]", "zone", "peer_listen", "platform"}))
 	_, err = settings.Load("testdata/absent.json")
-	g.Expect(err).To(gomega.MatchError(settings.ErrInvalid))
-}
+	gomega.Expect(err).To(gomega.MatchError(settings.ErrInvalid))
+})
