--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,7 +59,7 @@
 
 func (i *instance) serve(failed chan<- error, run func() error) {
 	i.running.Go(func() {
-		if err := run(); err != nil && i.stopping.Load() == 0 {
+		if err := run(); err != nil && !i.stopping.Load() {
 			failed <- err
 		}
 	})
@@ -67,7 +67,7 @@
 
 // stop gives up the authority and the gates first, so that a successor can act while requests finish here.
 func (i *instance) stop() error {
-	i.stopping.Store(1)
+	i.stopping.Store(true)
 	eventStopping.Log(context.Background(), i.logger)
 	var handover sync.WaitGroup
 	handover.Go(i.handOver)
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -63,7 +63,7 @@
 	operator   *operatorListener
 	trace      *entry.TraceFile
 
-	stopping      atomic.Int32
+	stopping      atomic.Bool
 	stopAuthority context.CancelFunc
 	stopParts     context.CancelFunc
 	authority     sync.WaitGroup
--- a/daemon/watchers.go
+++ b/daemon/watchers.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"rhubarbpoint/member"
 	"rhubarbpoint/peer/peerpb"
 )
 
@@ -21,17 +21,8 @@
 
 // watches says whether this instance is one of its zone's watchers, by rendezvous hash over the live members.
 func (i *instance) watches() bool {
-	own := xxhash.Sum64String("watch/" + i.member.Self())
-	higher := 0
-	for _, m := range i.member.Live() {
-		if m.GetRegion() != i.settings.Region || m.GetZone() != i.settings.Zone || m.GetId() == i.member.Self() {
-			continue
-		}
-		if xxhash.Sum64String("watch/"+m.GetId()) > own {
-			higher++
-		}
-	}
-	return higher < watchersPerZone
+	return member.Elected(
+		i.member.Live(), i.settings.Region, i.settings.Zone, i.member.Self(), "watch", watchersPerZone)
 }
 
 // askPeers returns the document of a peer: a live member, or a seed of the settings while no member is known.
--- a/member/upstreams.go
+++ b/member/upstreams.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"rhubarbpoint/peer/peerpb"
 	"rhubarbpoint/topo"
 )
@@ -92,14 +90,8 @@
 func (s *Service) directoryWait(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	own := xxhash.Sum64String("list/" + s.opts.ID)
-	higher := 0
-	for _, m := range s.live(func(m *peerpb.Member, p *presence) bool { return !s.suspected(m.GetId(), p, now) }) {
-		if m.GetZone() == s.opts.Zone && m.GetRegion() == s.opts.Region && xxhash.Sum64String("list/"+m.GetId()) > own {
-			higher++
-		}
-	}
-	if higher < directoryReaders {
+	heard := s.live(func(m *peerpb.Member, p *presence) bool { return !s.suspected(m.GetId(), p, now) })
+	if Elected(heard, s.opts.Region, s.opts.Zone, s.opts.ID, "list", directoryReaders) {
 		return directoryInterval
 	}
 	return directoryRareInterval
--- a/route/candidates.go
+++ b/route/candidates.go
@@ -61,29 +61,20 @@
 }
 
 func (t *Table) wholeOption(req *Request, p *place, latency time.Duration) option {
-	first := 2*latency.Seconds() + p.prefill + p.seat + p.step
-	return option{
-		decode:  p.u,
-		first:   first,
-		finish:  first + t.answerLength(req)*p.step,
-		cost:    p.uncached/p.state.rate + t.answerLength(req)*p.step/p.state.maximum,
-		score:   first + t.late(first) + p.harm + p.crowd + p.load,
-		doubt:   p.state.doubt,
-		todo:    p.uncached,
-		queue:   p.state.waiting/p.state.rate + p.seat,
-		slow:    p.step > sureStep*t.target.between && t.answerLength(req) > 1,
-		full:    p.state.running > p.state.maximum/2,
-		share:   p.state.share,
-		crowded: p.state.running > holdBatch*p.state.maximum,
-	}
+	return t.newOption(req, p, p, 2*latency.Seconds()+p.prefill+p.seat+p.step)
 }
 
 func (t *Table) pairOption(req *Request, p, d *place) option {
 	size := float64(t.kvBytes(req.Model)) * float64(req.PromptTokens)
 	transfer := size/localKVBytesPerSecond + localLatency.Seconds()
-	first := 2*localLatency.Seconds() + p.prefill + transfer + d.seat + d.step
+	o := t.newOption(req, p, d, 2*localLatency.Seconds()+p.prefill+transfer+d.seat+d.step)
+	o.prefill = p.u
+	return o
+}
+
+// newOption describes the prompt processed at p and the answer generated at d, which can be the same engine.
+func (t *Table) newOption(req *Request, p, d *place, first float64) option {
 	return option{
-		prefill: p.u,
 		decode:  d.u,
 		first:   first,
 		finish:  first + t.answerLength(req)*d.step,
