--- a/authority/journal.go
+++ b/authority/journal.go
@@ -62,7 +62,7 @@
 func (j journal) list(ctx context.Context) ([]journalEntry, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	entries, err := j.store.List(ctx, "journal/")
+	entries, _, err := j.store.List(ctx, "journal/")
 	if err != nil {
 		return nil, errors.Wrap(err, "authority: list journal")
 	}
--- a/claim/budget_test.go
+++ b/claim/budget_test.go
@@ -62,7 +62,7 @@
 				writes, reads := calls[topo.OpPut], calls[topo.OpGet]
 				g.Expect(float64(writes)).To(gomega.BeNumerically("<=", partitions*(elapsed*writesPerSecond+writeBurst)))
 				var largest, records int
-				entries, err := w.store.List(context.Background(), "claims/")
+				entries, _, err := w.store.List(context.Background(), "claims/")
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 				for _, entry := range entries {
 					s, err := decodeSlot(entry)
--- a/claim/fuzz_test.go
+++ b/claim/fuzz_test.go
@@ -104,7 +104,7 @@
 	}
 	w.heal()
 	time.Sleep(5 * time.Minute) // beyond all deadlines, pauses and late writes
-	entries, err := w.store.List(context.Background(), "claims/0/")
+	entries, _, err := w.store.List(context.Background(), "claims/0/")
 	w.mu.Lock()
 	if err == nil && len(entries) > slots {
 		w.faults = append(w.faults, fmt.Sprintf("store holds %d slots of one partition", len(entries)))
--- a/cmd/rhubarbpoint/serve.go
+++ b/cmd/rhubarbpoint/serve.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"rhubarbpoint/daemon"
+	"rhubarbpoint/internal/logsink"
 	"rhubarbpoint/settings"
 )
 
@@ -35,7 +36,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: c.level}))
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	logger := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: c.level}))
 	if err := daemon.Run(ctx, s, logger); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"os"
 	"sync"
 	"time"
@@ -19,11 +20,20 @@
 	stopTimeout = 10 * time.Second
 	// leaveTimeout bounds telling the peers that this instance leaves.
 	leaveTimeout = 2 * time.Second
+	// noLimit leaves a planned stop as long as requests in flight may take.
+	noLimit = time.Duration(math.MaxInt64)
 )
 
 // Run serves until the context ends, then stops gracefully: it gives up its authority, tells its peers, lets the balancer
 // notice, and finishes the requests in flight. It returns an error when a listener fails or a request was cut off.
 func Run(ctx context.Context, s *settings.Settings, logger *slog.Logger) error {
+	if s.Routes == settings.RoutesFromPlatform {
+		r, err := newRouted(ctx, s, logger)
+		if err != nil {
+			return err
+		}
+		return r.run(ctx)
+	}
 	i, err := newInstance(ctx, s, logger)
 	if err != nil {
 		return err
@@ -71,7 +81,7 @@
 	eventStopping.Log(context.Background(), i.logger)
 	var handover sync.WaitGroup
 	handover.Go(i.handOver)
-	err := i.front.Drain(i.settings.DrainDelay.D())
+	err := i.front.Drain(i.settings.DrainDelay.D(), noLimit)
 	handover.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -23,13 +23,14 @@
 	"rhubarbpoint/member"
 	"rhubarbpoint/peer"
 	"rhubarbpoint/peer/peerpb"
+	"rhubarbpoint/platform"
 	"rhubarbpoint/retry"
 	"rhubarbpoint/role/controller"
 	"rhubarbpoint/route"
 	"rhubarbpoint/settings"
 	"rhubarbpoint/suspect"
 	"rhubarbpoint/topo"
-	"rhubarbpoint/topo/httptopo"
+	"rhubarbpoint/topo/httplist"
 )
 
 // loadsPerSecond limits the orders that make engines fetch weights, which the platform's weight store limits by rate.
@@ -94,8 +95,8 @@
 	if i.settings.Platform == "" {
 		return
 	}
-	client := httptopo.New(i.settings.Platform, i.metrics)
-	i.store, i.directory = client, client
+	i.store = platform.New(i.settings.Platform, i.metrics)
+	i.directory = httplist.New(i.settings.Platform)
 }
 
 // addMembership makes the parts that depend on each other: the manager asks the membership who watches and for
--- /dev/null
+++ b/daemon/routed.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"rhubarbpoint/config"
+	"rhubarbpoint/discovery"
+	"rhubarbpoint/engine"
+	"rhubarbpoint/entry"
+	"rhubarbpoint/internal/sleep"
+	"rhubarbpoint/member"
+	"rhubarbpoint/operator"
+	"rhubarbpoint/place"
+	"rhubarbpoint/platform"
+	"rhubarbpoint/relay"
+	"rhubarbpoint/retry"
+	"rhubarbpoint/settings"
+	"rhubarbpoint/upstream"
+)
+
+const (
+	// pruneInterval is how often connections and load records that are no longer used are dropped.
+	pruneInterval = time.Second
+	// stopMargin is kept from the time of a planned stop for the end of the process itself.
+	stopMargin = 500 * time.Millisecond
+)
+
+// routed is an instance that takes its routes and replicas from the platform's store.
+type routed struct {
+	settings  *settings.Settings
+	logger    *slog.Logger
+	metrics   metrics.Registry
+	listeners *listeners
+
+	discovery *discovery.Service
+	replicas  *upstream.Registry
+	board     *place.Board
+	pool      *relay.Pool
+	server    *entry.Server
+	front     *entry.Front
+	operator  *operatorListener
+
+	stopping  atomic.Bool
+	stopParts context.CancelFunc
+	running   sync.WaitGroup
+}
+
+func newRouted(ctx context.Context, s *settings.Settings, logger *slog.Logger) (*routed, error) {
+	r := &routed{settings: s, logger: logger, metrics: metrics.NewRegistry(), replicas: upstream.NewRegistry(), pool: relay.NewPool(nil)}
+	var err error
+	if r.listeners, err = openListeners(ctx, s); err != nil {
+		return nil, err
+	}
+	r.board = place.NewBoard(place.Options{
+		Region: s.Region, Zone: s.Zone, Seed: engine.EpochHash(member.NewID(s.Instance)),
+	})
+	r.discovery = discovery.New(discovery.Options{
+		Store: platform.New(s.Platform, r.metrics), Replicas: r.replicas, Logger: logger,
+		Format: discovery.Format{
+			TableKey: platform.KeyTraffic, ReplicaPrefix: platform.PrefixReplicas, Table: platform.DecodeTable,
+			ReplicaID: platform.ReplicaID,
+			Replica: func(key string, value []byte) (upstream.Replica, error) {
+				return platform.DecodeReplica(key, value, s.RegionOf)
+			},
+		},
+	})
+	r.server = entry.NewServer(entry.Options{
+		Document: func() *config.Document { return nil }, Region: s.Region, Health: retry.NewHealth(), Metrics: r.metrics, Logger: logger,
+		Routing: &entry.Routing{
+			Table: r.discovery.Table, Replicas: r.replicas, Board: r.board, Dialect: platform.Dialect{}, Pool: r.pool,
+			Budgets: retry.NewBudgets(s.RetryShare, s.RetryWindow.D()),
+		},
+	})
+	r.front = entry.NewFront(r.server)
+	state := operator.NewStateRegistry()
+	state.Register("entry", func() any { return r.server.State(time.Now()) })
+	state.Register("replicas", func() any { return r.replicas.All() })
+	state.Register("routes", func() any { return r.discovery.Table() })
+	r.operator = newOperatorListener(operator.NewServer(operator.Options{
+		Ready: r.ready, Metrics: r.metrics, State: state,
+	}).Handler())
+	return r, nil
+}
+
+// run serves until the context ends and then stops gracefully.
+func (r *routed) run(ctx context.Context) error {
+	eventStarted.Log(ctx, r.logger, slog.String("instance", r.settings.Instance), slog.Int("pid", os.Getpid()))
+	failed := make(chan error, 2)
+	var parts context.Context
+	parts, r.stopParts = context.WithCancel(context.Background())
+	r.running.Go(func() { r.discovery.Run(parts) })
+	r.running.Go(func() { r.prune(parts) })
+	r.serve(failed, func() error { return r.operator.Serve(r.listeners.operator) })
+	r.serve(failed, func() error { return r.front.Serve(r.listeners.caller) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		eventListenerFailed.Log(ctx, r.logger, slog.Any("error", err))
+	}
+	return errors.CombineErrors(err, r.stop())
+}
+
+func (r *routed) serve(failed chan<- error, run func() error) {
+	r.running.Go(func() {
+		if err := run(); err != nil && !r.stopping.Load() {
+			failed <- err
+		}
+	})
+}
+
+func (r *routed) stop() error {
+	r.stopping.Store(true)
+	eventStopping.Log(context.Background(), r.logger)
+	delay := min(r.settings.DrainDelay.D(), r.settings.StopWithin.D()/2)
+	err := r.front.Drain(delay, r.settings.StopWithin.D()-delay-stopMargin)
+	r.stopParts()
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
+	defer cancel()
+	_ = r.operator.Shutdown(ctx)
+	eventStopped.Log(context.Background(), r.logger)
+	return err
+}
+
+// ready returns why callers should not come here, or nil.
+func (r *routed) ready() error {
+	switch {
+	case r.discovery.Table() == nil:
+		return errors.New("no routes yet")
+	case !r.front.Ready():
+		return errors.New("stopping")
+	}
+	return nil
+}
+
+func (r *routed) prune(ctx context.Context) {
+	for sleep.For(ctx, pruneInterval) {
+		r.pool.Prune(time.Now())
+		r.board.Forget(func(start upstream.Incarnation) bool { return !r.replicas.Usable(start) })
+	}
+}
--- /dev/null
+++ b/discovery/service.go
@@ -0,0 +1,162 @@
+package discovery
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rhubarbpoint/internal/sleep"
+	"rhubarbpoint/topo"
+	"rhubarbpoint/traffic"
+	"rhubarbpoint/upstream"
+)
+
+// returnTime is how long after an outage of the store a replica that it no longer lists is still used. Entries that
+// lapsed during the outage are back within two seconds of its end.
+const returnTime = 2200 * time.Millisecond
+
+// Options are what a Service depends on.
+type Options struct {
+	Store    topo.Store
+	Format   Format
+	Replicas *upstream.Registry
+	Logger   *slog.Logger
+}
+
+// Service follows the store. It is safe for concurrent use.
+type Service struct {
+	opts  Options
+	table atomic.Pointer[traffic.Table]
+
+	mu sync.Mutex
+	// away is whether the last call failed, holdUntil until when missing replicas are kept.
+	away      bool
+	holdUntil time.Time
+}
+
+// New returns a service without routes.
+func New(opts Options) *Service { return &Service{opts: opts} }
+
+// Table returns the routes in force, or nil before the first ones.
+func (s *Service) Table() *traffic.Table { return s.table.Load() }
+
+// Run follows the store until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	table := &follower{
+		name: "routes", prefix: s.opts.Format.TableKey, store: s.opts.Store, logger: s.opts.Logger,
+		replace: func(now time.Time, entries []topo.Entry) {
+			for _, entry := range entries {
+				s.takeTable(now, entry)
+			}
+		},
+		change: s.takeTable, contact: func(time.Time, bool) {},
+	}
+	replicas := &follower{
+		name: "replicas", prefix: s.opts.Format.ReplicaPrefix, store: s.opts.Store, logger: s.opts.Logger,
+		replace: s.replaceReplicas, change: s.takeReplica, contact: s.noteContact,
+	}
+	running.Go(func() { table.run(ctx) })
+	running.Go(func() { replicas.run(ctx) })
+	running.Go(func() { s.dropLoop(ctx) })
+	running.Wait()
+}
+
+// takeTable puts routes in force unless they are older than those in force.
+func (s *Service) takeTable(_ time.Time, entry topo.Entry) {
+	ctx := context.Background()
+	if entry.Key != s.opts.Format.TableKey || entry.Value == nil {
+		return
+	}
+	next, err := s.opts.Format.Table(entry.Value)
+	if err != nil {
+		eventTableRefused.Log(ctx, s.opts.Logger, slog.String("error", err.Error()), slog.Int64("revision", entry.Revision))
+		return
+	}
+	for {
+		current := s.table.Load()
+		if current != nil && next.Version <= current.Version {
+			return
+		}
+		if s.table.CompareAndSwap(current, next) {
+			eventTableInForce.Log(ctx, s.opts.Logger, slog.Int64("version", next.Version),
+				slog.Int("routes", len(next.Routes)), slog.Int64("revision", entry.Revision))
+			return
+		}
+	}
+}
+
+// noteContact keeps when the store came back.
+func (s *Service) noteContact(now time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok && s.away {
+		s.holdUntil = now.Add(returnTime)
+	}
+	s.away = !ok
+}
+
+// holding says whether the store's list may lack replicas that are alive.
+func (s *Service) holding(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away || now.Before(s.holdUntil)
+}
+
+func (s *Service) replaceReplicas(now time.Time, entries []topo.Entry) {
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		listed[s.opts.Format.ReplicaID(entry.Key)] = true
+		s.takeReplica(now, entry)
+	}
+	for _, id := range s.opts.Replicas.IDs() {
+		if !listed[id] {
+			s.removeReplica(now, id)
+		}
+	}
+}
+
+func (s *Service) takeReplica(now time.Time, entry topo.Entry) {
+	id := s.opts.Format.ReplicaID(entry.Key)
+	if entry.Value == nil {
+		s.removeReplica(now, id)
+		return
+	}
+	replica, err := s.opts.Format.Replica(entry.Key, entry.Value)
+	if err != nil {
+		eventReplicaUnreadable.Log(context.Background(), s.opts.Logger, slog.String("upstream", id),
+			slog.String("error", err.Error()), slog.Int64("revision", entry.Revision))
+		s.removeReplica(now, id)
+		return
+	}
+	if s.opts.Replicas.Put(replica) {
+		eventReplicaChanged.Log(context.Background(), s.opts.Logger, slog.String("upstream", id),
+			slog.String("service", replica.Service), slog.String("stage", replica.Stage.String()),
+			slog.Bool("draining", replica.Draining), slog.Int64("born", replica.Born), slog.Int64("revision", entry.Revision))
+	}
+}
+
+func (s *Service) removeReplica(now time.Time, id string) {
+	if s.holding(now) {
+		s.opts.Replicas.Miss(now, id)
+		return
+	}
+	if s.opts.Replicas.Remove(id) {
+		eventReplicaGone.Log(context.Background(), s.opts.Logger, slog.String("upstream", id))
+	}
+}
+
+// dropLoop drops the replicas that were kept through an outage and did not come back.
+func (s *Service) dropLoop(ctx context.Context) {
+	const interval = 100 * time.Millisecond
+	for sleep.For(ctx, interval) {
+		if s.holding(time.Now()) {
+			continue
+		}
+		for _, id := range s.opts.Replicas.DropMissing() {
+			eventReplicaGone.Log(ctx, s.opts.Logger, slog.String("upstream", id))
+		}
+	}
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -79,12 +79,16 @@
 
 // readBody reads the whole body within the limits for size and time.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *call) ([]byte, *Error) {
-	limit := orDefault(c.doc.Network.MaxBodyBytes, defaultMaxBody)
+	return s.readAll(w, r, orDefault(c.doc.Network.MaxBodyBytes, defaultMaxBody), time.Now().Add(bodyTimeout))
+}
+
+// readAll reads the whole body within a size and until a time.
+func (s *Server) readAll(w http.ResponseWriter, r *http.Request, limit int64, until time.Time) ([]byte, *Error) {
 	if r.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	control.SetReadDeadline(until)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	switch {
@@ -95,7 +99,7 @@
 		return nil, tooLarge(limit)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, notRun(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive within "+bodyTimeout.String())
+		return nil, notRun(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive in time")
 	}
 	return nil, notRun(http.StatusBadRequest, codeBadRequest, "the body was cut off")
 }
--- a/entry/error.go
+++ b/entry/error.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,6 +17,16 @@
 	Code    string
 	Message string
 	Run     claim.RunState
+	// RetryAfter is when the caller should come back; zero says nothing.
+	RetryAfter time.Duration
+}
+
+// after sets when the caller should come back, if the request has not run.
+func (e *Error) after(pause time.Duration) *Error {
+	if e.Run == claim.NotRun {
+		e.RetryAfter = pause
+	}
+	return e
 }
 
 // Error implements error.
@@ -55,6 +66,9 @@
 	body := append(e.body(), '\n')
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+	}
 	w.WriteHeader(e.Status)
 	w.Write(body)
 }
--- /dev/null
+++ b/entry/event_id.go
@@ -0,0 +1,20 @@
+package entry
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// eventEnd ends a server-sent event.
+var eventEnd = []byte("\n\n")
+
+// eventID returns the ID of a server-sent event, if it has a numeric one.
+func eventID(event []byte) (int64, bool) {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			return id, err == nil
+		}
+	}
+	return 0, false
+}
--- a/entry/events.go
+++ b/entry/events.go
@@ -25,6 +25,12 @@
 		"The caller listener is closed and no request is in flight.")
 	eventDrainOverdue = event.New(308, "drain overdue", slog.LevelError,
 		"Requests outlived the grace period and got an error.")
+	eventRequestServed = event.New(310, "request served", slog.LevelInfo,
+		"A routed request got a replica's answer. The attributes are the route and the version of the routes, the upstream "+
+			"with the estimate for it and the age of the load report behind that, and the number of attempts.")
+	eventRequestNotServed = event.New(311, "request not served", slog.LevelInfo,
+		"A routed request got an error from this instance, or a stream that was cut off. The attribute run says whether "+
+			"it may have run, left how long the caller would still have waited, error what the last attempt met.")
 	eventTraceDropped = event.New(309, "trace record dropped", slog.LevelWarn,
 		"The trace file is too slow or failed; a record was dropped.")
 )
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -228,7 +228,7 @@
 
 // drain stops the instance as SIGTERM does.
 func (f *fleet) drain(delay time.Duration) {
-	f.Expect(f.front.Drain(delay)).To(gomega.Succeed())
+	f.Expect(f.front.Drain(delay, time.Hour)).To(gomega.Succeed())
 	f.Expect(<-f.served).To(gomega.Succeed())
 }
 
--- a/entry/front.go
+++ b/entry/front.go
@@ -58,20 +58,20 @@
 func (f *Front) Ready() bool { return f.ready.Load() }
 
 // Drain stops gracefully: the front reports not ready, goes on accepting for the delay while the balancer lags, stops
-// listening, and waits for the requests in flight. Requests that outlive the longest allowed deadline get an error. It
-// returns nil when no request was cut off.
-func (f *Front) Drain(delay time.Duration) error {
+// listening, and waits for the requests in flight. Requests that outlive the longest allowed deadline, or limit after the
+// delay, get an error. It returns nil when no request was cut off.
+func (f *Front) Drain(delay, limit time.Duration) error {
 	ctx := context.Background()
 	logger := f.server.opts.Logger
 	eventDrainStarted.Log(ctx, logger)
 	f.ready.Store(false)
 	f.server.SetClosing()
 	time.Sleep(delay)
-	err := f.shutdown(f.server.grace(time.Now()) + writeTimeout)
+	err := f.shutdown(min(limit, f.server.grace(time.Now())+writeTimeout))
 	if err != nil {
 		eventDrainOverdue.Log(ctx, logger)
 		f.end(errStopping)
-		if f.shutdown(forcedStop) != nil {
+		if f.shutdown(min(limit, forcedStop)) != nil {
 			f.http.Close()
 		}
 	}
--- a/entry/options.go
+++ b/entry/options.go
@@ -39,6 +39,8 @@
 	Leaving func(upstreamID string) bool
 	// Recorder gets each model request, if set.
 	Recorder Recorder
+	// Routing, if set, replaces the interface for models and services by configured routes.
+	Routing *Routing
 	// Dial opens connections to plain services. Default: TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Metrics defaults to a new registry.
--- a/entry/order.go
+++ b/entry/order.go
@@ -73,9 +73,9 @@
 func orderError(err, refusal error) *Error {
 	var failed *claim.Error
 	if !errors.As(err, &failed) {
-		return &Error{http.StatusBadGateway, codeUpstream, err.Error(), claim.Unknown}
+		return &Error{Status: http.StatusBadGateway, Code: codeUpstream, Message: err.Error(), Run: claim.Unknown}
 	}
-	out := &Error{http.StatusBadGateway, failed.Code, failed.Message, failed.Run}
+	out := &Error{Status: http.StatusBadGateway, Code: failed.Code, Message: failed.Message, Run: failed.Run}
 	switch {
 	case failed.Run == claim.NotRun && errors.Is(refusal, admit.ErrOverShare):
 		out.Status, out.Code, out.Message = http.StatusTooManyRequests, codeOverShare, "the workspace is over its share"
--- /dev/null
+++ b/entry/routed_exchange.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/pipeline"
+	"rhubarbpoint/place"
+	"rhubarbpoint/relay"
+	"rhubarbpoint/retry"
+	"rhubarbpoint/traffic"
+	"rhubarbpoint/upstream"
+)
+
+const (
+	// maxRoutedRetries bounds the further attempts of one request, refused ones included.
+	maxRoutedRetries = 3
+	// legMargin is taken from the time that a replica gets, so that its answer can still reach the caller.
+	legMargin = 5 * time.Millisecond
+)
+
+// routedExchange is one routed request. It implements pipeline.Exchange and is for one goroutine.
+type routedExchange struct {
+	server  *Server
+	routing *Routing
+	table   *traffic.Table
+	route   *traffic.Route
+	service *traffic.Service
+	call    *relay.Call
+	w       http.ResponseWriter
+	control *http.ResponseController
+	budget  *retry.Window
+	request pipeline.Request
+
+	deadline time.Time
+	tried    map[upstream.Incarnation]bool
+	refused  map[upstream.Incarnation]bool
+	// answer is a failure that a replica answered, which is passed on if no attempt does better.
+	answer *wholeAnswer
+	// begun is set once the head of a stream has been written, last is the last event that the caller has.
+	begun bool
+	last  int64
+	// first and ended are when the first byte was written and when the request was over.
+	first  time.Time
+	placed place.Placement
+}
+
+// wholeAnswer is a replica's answer that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Place implements pipeline.Exchange.
+func (x *routedExchange) Place(context.Context) (place.Placement, error) {
+	now := time.Now()
+	p, err := x.routing.Board.Choose(now, x.service, x.routing.Replicas.Of(x.service.Name), &place.Request{
+		Prompt: x.call.Prompt, Deadline: x.deadline, Tried: x.tried, Refused: x.refused, Continues: x.begun,
+	})
+	switch {
+	case err == nil:
+		x.placed = p
+		return p, nil
+	case errors.Is(err, place.ErrNoReplica):
+		return p, errors.Mark(err, pipeline.ErrNoUpstream)
+	}
+	return p, errors.Mark(err, pipeline.ErrFinal)
+}
+
+// Attempt implements pipeline.Exchange.
+func (x *routedExchange) Attempt(ctx context.Context, p place.Placement) error {
+	x.server.metrics.attempts.Inc(1)
+	leg := &relay.Leg{
+		Replica: p.Run, Deadline: x.deadline.Add(-legMargin), After: x.last, Priority: x.route.Priority,
+	}
+	uncached := p.Uncached
+	if p.Prefill != nil {
+		leg.Cache = x.prefill(ctx, p)
+		if leg.Cache != nil {
+			uncached = 0
+		}
+	}
+	if err := context.Cause(ctx); err != nil {
+		return errors.Mark(errors.Mark(err, pipeline.ErrNotSent), pipeline.ErrFinal)
+	}
+	err := x.send(ctx, leg, uncached)
+	x.judge(ctx, p.Run, err)
+	return mark(err)
+}
+
+// mark translates how far an attempt got into what the pipeline decides by.
+func mark(err error) error {
+	switch {
+	case errors.Is(err, relay.ErrNotSent):
+		return errors.Mark(err, pipeline.ErrNotSent)
+	case errors.Is(err, relay.ErrRefused):
+		return errors.Mark(err, pipeline.ErrNotRun)
+	case errors.Is(err, errCallerWrite):
+		return errors.Mark(err, pipeline.ErrFinal)
+	}
+	return err
+}
+
+// send makes one send and delivers the answer.
+func (x *routedExchange) send(ctx context.Context, leg *relay.Leg, uncached int) error {
+	board := x.routing.Board
+	sent := time.Now()
+	board.Sent(leg.Replica, uncached)
+	defer func() { board.Ended(leg.Replica, uncached) }()
+	fresh := x.route.Kind == traffic.Once && x.request.Attempts > 0
+	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, leg, fresh)
+	if err != nil {
+		return err
+	}
+	defer ex.Close()
+	if load := ex.Reply().Load; load != nil {
+		board.Report(time.Now(), leg.Replica, load)
+	}
+	if x.service.Engine != nil {
+		board.Read(leg.Replica, x.service, &x.call.Prompt, uncached, time.Since(sent))
+		uncached = 0
+	}
+	x.request.Accepted()
+	if x.route.Kind == traffic.Stream && ex.Status() == http.StatusOK {
+		return x.stream(ex)
+	}
+	body, err := ex.Whole()
+	if err != nil {
+		return err
+	}
+	board.Answered(leg.Replica, time.Since(sent))
+	x.answer = &wholeAnswer{ex.Status(), ex.Header(), body}
+	if ex.Status() >= http.StatusInternalServerError && x.route.Repeatable() {
+		return errUnwell
+	}
+	return nil
+}
+
+// prefill has another replica process the prompt. It returns nil when that fails; the request then runs without.
+func (x *routedExchange) prefill(ctx context.Context, p place.Placement) *relay.CacheHandle {
+	handle, err := x.processPrompt(ctx, p)
+	if err != nil {
+		x.judge(ctx, p.Prefill, err)
+		return nil
+	}
+	return handle
+}
+
+func (x *routedExchange) processPrompt(ctx context.Context, p place.Placement) (*relay.CacheHandle, error) {
+	board := x.routing.Board
+	sent, uncached := time.Now(), p.Uncached
+	board.Sent(p.Prefill, uncached)
+	defer func() { board.Ended(p.Prefill, uncached) }()
+	leg := &relay.Leg{Replica: p.Prefill, Deadline: x.deadline.Add(-legMargin), PromptOnly: true, After: -1, Priority: x.route.Priority}
+	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, leg, false)
+	if err != nil {
+		return nil, err
+	}
+	defer ex.Close()
+	if load := ex.Reply().Load; load != nil {
+		board.Report(time.Now(), p.Prefill, load)
+	}
+	body, err := ex.Whole()
+	if err != nil {
+		return nil, err
+	}
+	if ex.Status() != http.StatusOK {
+		return nil, errors.Mark(errors.Newf("entry: prefill answered with status %d", ex.Status()), relay.ErrBroken)
+	}
+	handle, err := x.routing.Dialect.CacheHandle(leg, body)
+	if err != nil {
+		return nil, errors.Mark(err, relay.ErrBroken)
+	}
+	board.Read(p.Prefill, x.service, &x.call.Prompt, uncached, time.Since(sent))
+	uncached = 0
+	return handle, nil
+}
+
+// judge draws the conclusions about a replica from the end of an attempt, and marks the error for the pipeline.
+func (x *routedExchange) judge(ctx context.Context, replica *upstream.Replica, err error) {
+	start := replica.Incarnation()
+	switch {
+	case err == nil:
+		x.server.opts.Health.Succeeded(time.Now(), replica.ID)
+		return
+	case errors.Is(err, errUnwell):
+		// Some requests fail on healthy replicas, so one failure says nothing about the replica.
+		x.tried = with(x.tried, start)
+		return
+	case errors.Is(err, relay.ErrEnded):
+		return
+	case errors.Is(err, relay.ErrOtherInstance):
+		x.refused = with(x.refused, start)
+		return
+	case errors.Is(err, relay.ErrRefused):
+		x.tried = with(x.tried, start)
+		return
+	}
+	x.tried = with(x.tried, start)
+	if x.server.opts.Health.Failed(time.Now(), replica.ID) {
+		eventUpstreamEjected.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID))
+	}
+}
+
+func with(set map[upstream.Incarnation]bool, start upstream.Incarnation) map[upstream.Incarnation]bool {
+	if set == nil {
+		set = make(map[upstream.Incarnation]bool)
+	}
+	set[start] = true
+	return set
+}
+
+// deliver writes a whole answer.
+func (x *routedExchange) deliver(a *wholeAnswer) {
+	x.copyHeader(a.header)
+	x.first = time.Now()
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	writeWhole(x.w, a.status, a.body)
+}
+
+// copyHeader takes over a replica's header, but for the fields of its connection.
+func (x *routedExchange) copyHeader(header http.Header) {
+	out := x.w.Header()
+	for name, values := range header {
+		switch name {
+		case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade":
+			continue
+		}
+		out[name] = values
+	}
+	if _, found := header["Content-Type"]; !found {
+		out["Content-Type"] = nil // keeps net/http from guessing one
+	}
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -52,15 +52,21 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := uuid.NewString()
-	w.Header().Set("Request-Id", id)
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	s.metrics.requests.Inc(1)
-	s.opts.Budget.Request()
 	body := &trackedBody{ReadCloser: r.Body}
 	r.Body = body
+	if s.opts.Routing != nil {
+		if err := s.serveRouted(w, r); err != nil {
+			refuse(w, r, body, err)
+		}
+		return
+	}
+	id := uuid.NewString()
+	w.Header().Set("Request-Id", id)
+	s.opts.Budget.Request()
 	if err := s.serve(w, r, id); err != nil {
 		s.noteFailure(r.Context(), id, err)
 		refuse(w, r, body, err)
--- a/internal/standin/platform/manager_test.go
+++ b/internal/standin/platform/manager_test.go
@@ -11,7 +11,7 @@
 
 	"rhubarbpoint/config/manager"
 	"rhubarbpoint/internal/standin/platform"
-	"rhubarbpoint/topo/httptopo"
+	wire "rhubarbpoint/platform"
 )
 
 // inForceWithin is the target for a configuration change, of section 1.3 of the design.
@@ -29,12 +29,12 @@
 	defer server.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	watcher := manager.New(manager.Options{
-		Store: httptopo.New(l.Addr().String(), nil), Watches: func() bool { return true },
+		Store: wire.New(l.Addr().String(), nil), Watches: func() bool { return true },
 	})
 	done := make(chan struct{})
 	go func() { watcher.Run(ctx); close(done) }()
 	defer func() { cancel(); <-done }()
-	editor := manager.New(manager.Options{Store: httptopo.New(l.Addr().String(), nil)})
+	editor := manager.New(manager.Options{Store: wire.New(l.Addr().String(), nil)})
 	_, err = editor.Edit(ctx, manager.Edit{Section: "callers", Content: []byte(`{}`)})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Eventually(watcher.Version, inForceWithin).Should(gomega.BeEquivalentTo(1))
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -1,5 +1,5 @@
 // Package platform is a small stand-in for the platform: it serves topo/memtopo over HTTP, with rate limits, call counts
-// and injected faults, in the wire format of topo/httptopo.
+// and injected faults, in the wire format of the adapter in rhubarbpoint/platform.
 package platform
 
 import (
@@ -12,11 +12,15 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	wire "rhubarbpoint/platform"
 	"rhubarbpoint/topo"
-	"rhubarbpoint/topo/httptopo"
+	"rhubarbpoint/topo/httplist"
 	"rhubarbpoint/topo/memtopo"
 )
 
+// pageItems is the number of items on one page of a list.
+const pageItems = 500
+
 // Options set the limits of the stand-in. Zero values mean the defaults.
 type Options struct {
 	// WritesPerSecond is 500 by default, ReadsPerSecond 2,000. A burst of one second is allowed.
@@ -60,15 +64,14 @@
 // Handler returns the HTTP interface.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/kv", p.limit(topo.OpGet, p.get))
-	mux.HandleFunc("PUT /v1/kv", p.limit(topo.OpPut, p.put))
-	mux.HandleFunc("DELETE /v1/kv", p.limit(topo.OpDelete, p.delete))
-	mux.HandleFunc("GET /v1/list", p.limit(topo.OpList, p.list))
-	mux.HandleFunc("GET /v1/watch", p.limit(topo.OpWatch, p.watch))
-	mux.HandleFunc("POST /v1/leases", p.limit(topo.OpGrant, p.grant))
-	mux.HandleFunc("POST /v1/leases/keepalive", p.limit(topo.OpKeepAlive, p.keepAlive))
-	mux.HandleFunc("DELETE /v1/leases", p.limit(topo.OpRevoke, p.revoke))
-	mux.HandleFunc("GET /v1/instances", p.instances)
+	mux.HandleFunc("GET "+wire.PathKey, p.limit(topo.OpGet, p.get))
+	mux.HandleFunc("GET "+wire.PathRange, p.limit(topo.OpList, p.list))
+	mux.HandleFunc("GET "+wire.PathWatch, p.limit(topo.OpWatch, p.watch))
+	mux.HandleFunc("POST "+wire.PathTxn, p.limit(topo.OpPut, p.change))
+	mux.HandleFunc("POST "+wire.PathLease, p.limit(topo.OpGrant, p.grant))
+	mux.HandleFunc("POST "+wire.PathKeep+"{lease}", p.limit(topo.OpKeepAlive, p.keepAlive))
+	mux.HandleFunc("DELETE "+wire.PathLeaseEnd+"{lease}", p.limit(topo.OpRevoke, p.revoke))
+	mux.HandleFunc("GET "+httplist.Path, p.instances)
 	p.handleAdmin(mux)
 	return mux
 }
@@ -105,87 +108,85 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err != nil {
-		w.WriteHeader(status(err))
-		answer = httptopo.Error{Code: httptopo.CodeOf(err), Message: err.Error()}
+		w.WriteHeader(wire.StatusOf(err))
+		answer = struct{}{}
 	}
 	json.NewEncoder(w).Encode(answer)
 }
 
-func status(err error) int {
-	switch {
-	case errors.Is(err, topo.ErrNotFound), errors.Is(err, topo.ErrLeaseNotFound):
-		return http.StatusNotFound
-	case errors.Is(err, topo.ErrConflict):
-		return http.StatusConflict
-	case errors.Is(err, topo.ErrTooLarge):
-		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, topo.ErrRateLimited):
-		return http.StatusTooManyRequests
-	case errors.Is(err, topo.ErrUnavailable):
-		return http.StatusServiceUnavailable
-	}
-	return http.StatusBadRequest
-}
-
 func (p *Platform) get(r *http.Request) (any, error) {
-	return p.store.Get(r.Context(), r.FormValue("key"))
+	entry, err := p.store.Get(r.Context(), r.FormValue("key"))
+	return item(entry), err
 }
 
 func (p *Platform) list(r *http.Request) (any, error) {
-	entries, err := p.store.List(r.Context(), r.FormValue("prefix"))
-	return append([]topo.Entry{}, entries...), err
-}
-
-func (p *Platform) put(r *http.Request) (any, error) {
-	query := r.URL.Query()
-	expect, err := number(query.Get("expect"))
-	if err != nil {
-		return nil, err
-	}
-	lease, err := number(query.Get("lease"))
-	if err != nil {
-		return nil, err
-	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, topo.MaxValueBytes+1))
-	if err != nil {
-		return nil, err
+	entries, revision, err := p.store.List(r.Context(), r.FormValue("prefix"))
+	page := wire.Page{Items: []wire.Item{}, At: revision}
+	for _, entry := range entries {
+		if entry.Key <= r.FormValue("after") {
+			continue
+		}
+		if len(page.Items) == pageItems {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, item(entry))
 	}
-	revision, err := p.store.Put(r.Context(), query.Get("key"), value, expect, topo.LeaseID(lease))
-	return httptopo.Written{Revision: revision}, err
+	return page, err
 }
 
-func (p *Platform) delete(r *http.Request) (any, error) {
-	expect, err := number(r.URL.Query().Get("expect"))
-	if err != nil {
+// change executes a transaction of one key, which is all that rhubarbpoint sends.
+func (p *Platform) change(r *http.Request) (any, error) {
+	var txn wire.Txn
+	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
 		return nil, err
 	}
-	return struct{}{}, p.store.Delete(r.Context(), r.URL.Query().Get("key"), expect)
+	switch {
+	case len(txn.Conditions) == 1 && len(txn.Puts) == 1 && len(txn.Removes) == 0 && txn.Conditions[0].Key == txn.Puts[0].Key:
+		put := txn.Puts[0]
+		revision, err := p.store.Put(r.Context(), put.Key, put.Value, txn.Conditions[0].Revision, topo.LeaseID(put.Lease))
+		return wire.Written{Revision: revision}, err
+	case len(txn.Conditions) == 1 && len(txn.Puts) == 0 && len(txn.Removes) == 1 && txn.Conditions[0].Key == txn.Removes[0]:
+		err := p.store.Delete(r.Context(), txn.Removes[0], txn.Conditions[0].Revision)
+		if errors.Is(err, topo.ErrNotFound) {
+			err = topo.ErrConflict
+		}
+		return wire.Written{}, err
+	}
+	return nil, errors.New("only transactions of one key are served")
 }
 
 func (p *Platform) watch(r *http.Request) (any, error) {
-	after, err := number(r.FormValue("after"))
+	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	if err != nil {
 		return nil, err
 	}
-	wait, err := time.ParseDuration(r.FormValue("wait"))
+	wait, err := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
 	if err != nil {
 		return nil, err
 	}
-	entries, revision, err := p.store.Watch(r.Context(), r.FormValue("prefix"), after, wait)
-	return httptopo.Watched{Entries: entries, Revision: revision}, err
+	entries, revision, err := p.store.Watch(r.Context(), r.FormValue("prefix"), after, time.Duration(wait)*time.Millisecond)
+	changes := wire.Changes{Events: []wire.Item{}, At: revision}
+	for _, entry := range entries {
+		changes.Events = append(changes.Events, item(entry))
+	}
+	return changes, err
 }
 
 func (p *Platform) grant(r *http.Request) (any, error) {
-	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
-	if err != nil || ttl <= 0 {
-		return nil, errors.New("ttl must be a positive duration")
+	var asked wire.Lease
+	if err := json.NewDecoder(r.Body).Decode(&asked); err != nil {
+		return nil, err
 	}
-	id, err := p.store.Grant(r.Context(), ttl)
-	return httptopo.Granted{Lease: id}, err
+	if asked.TTLMillis <= 0 {
+		return nil, errors.New("a lease must have a positive time to live")
+	}
+	id, err := p.store.Grant(r.Context(), time.Duration(asked.TTLMillis)*time.Millisecond)
+	return wire.Lease{ID: int64(id), TTLMillis: asked.TTLMillis}, err
 }
 
 func (p *Platform) keepAlive(r *http.Request) (any, error) {
-	id, err := number(r.URL.Query().Get("lease"))
+	id, err := strconv.ParseInt(r.PathValue("lease"), 10, 64)
 	if err != nil {
 		return nil, err
 	}
@@ -193,21 +194,21 @@
 }
 
 func (p *Platform) revoke(r *http.Request) (any, error) {
-	id, err := number(r.URL.Query().Get("lease"))
+	id, err := strconv.ParseInt(r.PathValue("lease"), 10, 64)
 	if err != nil {
 		return nil, err
 	}
 	return struct{}{}, p.store.Revoke(r.Context(), topo.LeaseID(id))
 }
 
+// item returns an entry as the platform writes it.
+func item(e topo.Entry) wire.Item {
+	return wire.Item{
+		Key: e.Key, Value: e.Value, Revision: e.Revision, Created: e.Created, Lease: int64(e.Lease), Deleted: e.Value == nil,
+	}
+}
+
 func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
 	list, err := p.directory.Instances(r.Context())
 	reply(w, list, err)
 }
-
-func number(text string) (int64, error) {
-	if text == "" {
-		return 0, nil
-	}
-	return strconv.ParseInt(text, 10, 64)
-}
--- a/internal/strict/formats.go
+++ b/internal/strict/formats.go
@@ -12,6 +12,7 @@
 }
 
 var formats = map[string]format{
+	"routes":   {pattern(`^(document|platform)$`), "document or platform"},
 	"name":     {pattern(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`), "1 to 63 lower-case letters, digits and inner hyphens"},
 	"label":    {pattern(`^[A-Za-z0-9][A-Za-z0-9._/:@-]{0,127}$`), "1 to 128 letters, digits and ._/:@-, starting with a letter or digit"},
 	"text":     {func(s string) bool { return s != "" && len(s) <= 256 }, "a string of 1 to 256 bytes"},
--- a/operator/server.go
+++ b/operator/server.go
@@ -14,7 +14,7 @@
 
 // Options are what the handler shows.
 type Options struct {
-	// Manager holds the configuration.
+	// Manager holds the configuration. Without one the calls for the configuration do not exist.
 	Manager *manager.Manager
 	// Members returns the live members with the versions they have in force, this instance included.
 	Members func() []Member
@@ -48,6 +48,9 @@
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /debug/state", s.state)
+	if s.opts.Manager == nil {
+		return mux
+	}
 	mux.HandleFunc("GET /v1/config", s.config)
 	mux.HandleFunc("PUT /v1/config", s.seed)
 	mux.HandleFunc("GET /v1/config/diff", s.diff)
@@ -66,7 +69,7 @@
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	var reason error
 	switch {
-	case !s.opts.Manager.Ready():
+	case s.opts.Manager != nil && !s.opts.Manager.Ready():
 		reason = errors.New("no configuration document yet")
 	case s.opts.Ready != nil:
 		reason = s.opts.Ready()
--- /dev/null
+++ b/place/board.go
@@ -0,0 +1,142 @@
+// Package place chooses a replica for each routed request, from the requests that this instance has sent, the load that
+// replicas state in their answers, and an estimate of their prefix caches. It answers uneven load: replicas with a queue,
+// prompts that only some replicas have cached, and bursts of long prompts beside short ones. Decisions depend only on the
+// board and the given time.
+package place
+
+import (
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"rhubarbpoint/relay"
+	"rhubarbpoint/traffic"
+	"rhubarbpoint/upstream"
+)
+
+// Options set up a board.
+type Options struct {
+	// Region and Zone are those of this instance.
+	Region, Zone string
+	// Seed makes the random choices repeatable.
+	Seed uint64
+}
+
+// Board holds the load of the replicas as one instance knows it. It is safe for concurrent use; its lock is a leaf.
+type Board struct {
+	opts Options
+
+	mu     sync.Mutex
+	random *rand.Rand
+	loads  map[upstream.Incarnation]*load
+	paces  map[string]*pace
+}
+
+// NewBoard returns an empty board.
+func NewBoard(opts Options) *Board {
+	return &Board{
+		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 0x9e3779b97f4a7c15)),
+		loads: make(map[upstream.Incarnation]*load), paces: make(map[string]*pace),
+	}
+}
+
+// Point returns a number in [0,1) for the choice between the services of a route.
+func (b *Board) Point() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.random.Float64()
+}
+
+// Forget drops what is known of replicas that are gone.
+func (b *Board) Forget(gone func(upstream.Incarnation) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.loads, func(start upstream.Incarnation, l *load) bool { return l.inFlight == 0 && gone(start) })
+}
+
+// Choose returns the placement of a request among the replicas of a service. It returns ErrNoReplica or a
+// *TooLateError.
+func (b *Board) Choose(now time.Time, service *traffic.Service, replicas []*upstream.Replica, req *Request) (Placement, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if service.Engine != nil {
+		return b.chooseEngine(now, service, replicas, req)
+	}
+	return b.choosePlain(now, service, replicas, req)
+}
+
+// Sent counts a send of a request with so many unprocessed prompt tokens.
+func (b *Board) Sent(replica *upstream.Replica, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(replica.Incarnation())
+	l.inFlight++
+	l.tokens += tokens
+	if tokens > 0 {
+		b.pace(replica.Service).sent(tokens)
+	}
+}
+
+// Read notes that a replica has processed a prompt that was counted with so many tokens. took is the time since the
+// send, without the time on the network, or 0 if it says nothing about the replica's pace.
+func (b *Board) Read(replica *upstream.Replica, service *traffic.Service, prompt *relay.Prompt, tokens int, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(replica.Incarnation())
+	l.tokens = max(0, l.tokens-tokens)
+	if service.Engine != nil {
+		b.cache(l, service).use(prompt.Parts)
+	}
+	if replica.Stage == upstream.Prefill && l.waiting == 0 && l.tokens == 0 {
+		b.pace(replica.Service).prompt(tokens, took)
+	}
+}
+
+// Ended counts the end of a send. tokens are those that Read has not been called for.
+func (b *Board) Ended(replica *upstream.Replica, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(replica.Incarnation())
+	l.inFlight--
+	l.tokens = max(0, l.tokens-tokens)
+}
+
+// Answered takes the time of a complete request to a plain service.
+func (b *Board) Answered(replica *upstream.Replica, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pace(replica.Service).answered(took)
+}
+
+// Report takes a replica's statement of its load.
+func (b *Board) Report(now time.Time, replica *upstream.Replica, r *relay.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(replica.Incarnation()).report(now, r)
+}
+
+func (b *Board) load(start upstream.Incarnation) *load {
+	l := b.loads[start]
+	if l == nil {
+		l = &load{}
+		b.loads[start] = l
+	}
+	return l
+}
+
+func (b *Board) cache(l *load, service *traffic.Service) *prefixes {
+	if l.cache == nil {
+		l.cache = newPrefixes(service.Engine.KVTokens)
+	}
+	return l.cache
+}
+
+func (b *Board) pace(service string) *pace {
+	p := b.paces[service]
+	if p == nil {
+		p = newPace()
+		b.paces[service] = p
+	}
+	return p
+}
--- /dev/null
+++ b/place/pace.go
@@ -0,0 +1,56 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// startPace is the number of prompt tokens per millisecond of a prefill replica before any is measured. Only the
+	// ratio to the times on the network matters.
+	startPace = 100
+	// paceSample is the least number of tokens that say something about the pace.
+	paceSample = 512
+	// paceGain is the weight of one measurement. Faster ones count at once, because waiting only makes them slower.
+	paceGain = 0.05
+	// decodePace is the pace of decode replicas relative to prefill replicas, which process prompts between the tokens of
+	// running answers.
+	decodePace = 0.5
+	// startWork is the time of a request to a plain service before any is measured.
+	startWork = 30 * time.Millisecond
+	workGain  = 0.02
+)
+
+// pace measures how fast the replicas of one service work.
+type pace struct {
+	tokensPerMs float64
+	work        time.Duration
+	meanTokens  float64 // unprocessed prompt tokens of a request
+}
+
+func newPace() *pace { return &pace{tokensPerMs: startPace, work: startWork, meanTokens: 1000} }
+
+// prompt takes the time in which a prefill replica without a queue processed a prompt.
+func (p *pace) prompt(tokens int, took time.Duration) {
+	if tokens < paceSample || took <= 0 {
+		return
+	}
+	measured := float64(tokens) / (took.Seconds() * 1000)
+	if measured > p.tokensPerMs {
+		p.tokensPerMs += (measured - p.tokensPerMs) / 2
+		return
+	}
+	p.tokensPerMs += (measured - p.tokensPerMs) * paceGain
+}
+
+// answered takes the time of a whole request to a plain service.
+func (p *pace) answered(took time.Duration) {
+	p.work += time.Duration(float64(took-p.work) * workGain)
+}
+
+func (p *pace) sent(tokens int) { p.meanTokens += (float64(tokens) - p.meanTokens) * paceGain }
+
+// ms returns the milliseconds for a number of prompt tokens.
+func (p *pace) ms(tokens, relative float64) float64 {
+	return tokens / math.Max(p.tokensPerMs*relative, 1)
+}
--- /dev/null
+++ b/place/request.go
@@ -0,0 +1,20 @@
+package place
+
+import (
+	"time"
+
+	"rhubarbpoint/relay"
+	"rhubarbpoint/upstream"
+)
+
+// Request is what the choice of a replica depends on.
+type Request struct {
+	Prompt relay.Prompt
+	// Deadline is when the answer is of no use any more.
+	Deadline time.Time
+	// Tried replicas are chosen only when no other is left, Refused ones not at all.
+	Tried   map[upstream.Incarnation]bool
+	Refused map[upstream.Incarnation]bool
+	// Continues is set for a request that has been answered in part. It is placed however late it will be.
+	Continues bool
+}
--- /dev/null
+++ b/relay/call.go
@@ -0,0 +1,42 @@
+// Package relay carries one HTTP request to one upstream and brings back its answer. It decides nothing about where a
+// request goes or whether it is repeated; it says exactly how far an attempt got.
+package relay
+
+import (
+	"net/http"
+	"time"
+)
+
+// Call is a caller's request as it is forwarded.
+type Call struct {
+	ID string
+	// Method and Target are the request line's, unchanged.
+	Method string
+	Target string
+	Host   string
+	// Header holds the fields to forward. Those that belong to one connection or that only the system may set are gone.
+	Header  http.Header
+	Body    []byte
+	Arrived time.Time
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	Prompt   Prompt
+	// After is the ID of the last event that the caller has already, or -1.
+	After int64
+}
+
+// Prompt describes a generation; it is empty for other requests.
+type Prompt struct {
+	Model string
+	// Tokens is the length of the prompt, MaxAnswer the longest answer.
+	Tokens    int
+	MaxAnswer int
+	// Parts divide the prompt from its beginning. Requests with equal leading parts can share their KV cache.
+	Parts []Part
+}
+
+// Part is a section of a prompt, identified by its content.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,12 +35,32 @@
 	Peers []string `json:"peers,omitempty" format:"addrport"`
 	// ConfigFile is a document to start from when there is no platform.
 	ConfigFile string `json:"config_file,omitempty" format:"text"`
+	// Routes says where callers' requests are described: "document" is the configuration document of this system, with its
+	// interface for models and services; "platform" is the platform's store, with the routes and replicas listed there.
+	// Default document.
+	Routes string `json:"routes,omitempty" default:"document" format:"routes"`
+	// Zones lists the availability zones of the site with their regions, for Routes "platform", whose replicas name only
+	// their zone.
+	Zones []Zone `json:"zones,omitempty"`
+	// RetryShare is the largest number of repeated attempts for each request of a service, for Routes "platform"; 0 to 10.
+	// Default 0.1.
+	RetryShare float64 `json:"retry_share,omitempty" default:"0.1" min:"0" max:"10"`
+	// RetryWindow is the time over which RetryShare is counted; 100ms to 10m. Default 10s.
+	RetryWindow config.Duration `json:"retry_window,omitempty" default:"10s" min:"100ms" max:"10m"`
+	// StopWithin bounds a planned stop, for Routes "platform": the platform kills the process then; 1s to 1h. Default 8s.
+	StopWithin config.Duration `json:"stop_within,omitempty" default:"8s" min:"1s" max:"1h"`
 	// DrainDelay is how long a stopping instance goes on accepting while the balancer lags; 0s to 5m. Default 5s.
 	DrainDelay config.Duration `json:"drain_delay" default:"5s" min:"0s" max:"5m"`
 	// TraceFile, when set, gets a record of each model request in the benchmark's trace format.
 	TraceFile string `json:"trace_file,omitempty" format:"text"`
 }
 
+// Values of Settings.Routes.
+const (
+	RoutesFromDocument = "document"
+	RoutesFromPlatform = "platform"
+)
+
 // Load reads and checks a settings file. The error of refused settings is an *InvalidError; one of reading the file is
 // marked with ErrInvalid too.
 func Load(path string) (*Settings, error) {
@@ -79,6 +99,9 @@
 	if s.Platform == "" && s.ConfigFile == "" && !refused(decoding, "platform", "config_file", "") {
 		faults = append(faults, strict.Fault{Path: "platform", Allowed: "platform or config_file to be set"})
 	}
+	if s.Routes == RoutesFromPlatform && s.Platform == "" && !refused(decoding, "platform", "") {
+		faults = append(faults, strict.Fault{Path: "platform", Allowed: "an address, since routes come from there"})
+	}
 	return faults
 }
 
--- a/topo/errors.go
+++ b/topo/errors.go
@@ -9,6 +9,8 @@
 	ErrLeaseNotFound = errors.New("topo: lease not found")
 	ErrTooLarge      = errors.New("topo: value too large")
 	ErrRateLimited   = errors.New("topo: rate limit exceeded")
+	// ErrCompacted means that the store has discarded the history that a watch asked for.
+	ErrCompacted = errors.New("topo: history discarded")
 	// ErrUnavailable means that the call was certainly not executed.
 	ErrUnavailable = errors.New("topo: platform unavailable")
 	// ErrAmbiguous means that a write may have taken effect, or may still do so.
--- /dev/null
+++ b/topo/httplist/list.go
@@ -0,0 +1,62 @@
+// Package httplist reads an instance list over HTTP, for sites whose platform keeps one beside its store.
+package httplist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/topo"
+)
+
+const (
+	// callTimeout bounds one read of the list.
+	callTimeout = 2 * time.Second
+	// maxListBytes allows 320 instances and 860 replicas at about 200 bytes each, many times over.
+	maxListBytes = 4 << 20
+	// Path is the path of the list.
+	Path = "/v1/instances"
+)
+
+// Client reads the list. It is safe for concurrent use.
+type Client struct{ url string }
+
+var _ topo.Directory = (*Client)(nil)
+
+// New returns a client of the list at addr (IP:port).
+func New(addr string) *Client { return &Client{url: "http://" + addr + Path} }
+
+// Instances implements topo.Directory. It returns topo.ErrUnavailable when the list cannot be read.
+func (c *Client) Instances(ctx context.Context) ([]topo.Instance, error) {
+	list, err := c.read(ctx)
+	if err != nil {
+		return nil, errors.Mark(err, topo.ErrUnavailable)
+	}
+	return list, nil
+}
+
+func (c *Client) read(ctx context.Context) ([]topo.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	// The list is read every ten seconds at most, and an idle connection could go silent without notice.
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "topo: instance list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("topo: instance list: status %d", resp.StatusCode)
+	}
+	var list []topo.Instance
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list)
+	return list, errors.Wrap(err, "topo: instance list")
+}
--- a/topo/memtopo/store.go
+++ b/topo/memtopo/store.go
@@ -71,18 +71,20 @@
 }
 
 // List implements topo.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]topo.Entry, error) {
+func (s *Store) List(ctx context.Context, prefix string) ([]topo.Entry, int64, error) {
 	var found []topo.Entry
+	var revision int64
 	err := s.do(ctx, topo.OpList, prefix, func() error {
 		for key, e := range s.entries {
 			if strings.HasPrefix(key, prefix) {
 				found = append(found, clone(e))
 			}
 		}
+		revision = s.revision
 		return nil
 	})
 	slices.SortFunc(found, func(a, b topo.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return found, err
+	return found, revision, err
 }
 
 // Put implements topo.Store.
--- a/topo/topo.go
+++ b/topo/topo.go
@@ -1,6 +1,6 @@
 // Package topo is the narrow interface to the platform: its key-value service (Store) and its list of instances
 // (Directory). Everything that has to be agreed or kept goes through it, so that no other package depends on the wire
-// format of a particular platform. memtopo is the memory implementation for tests, httptopo the adapter for production.
+// format of a particular platform. memtopo is the memory implementation for tests, package platform the adapter for production.
 package topo
 
 import (
@@ -30,8 +30,9 @@
 type Store interface {
 	// Get returns the entry of a key, or ErrNotFound.
 	Get(ctx context.Context, key string) (Entry, error)
-	// List returns the entries whose keys have the prefix, in order of their keys.
-	List(ctx context.Context, prefix string) ([]Entry, error)
+	// List returns the entries whose keys have the prefix, in order of their keys, and a revision from which a watch
+	// sees every change that the list may have missed.
+	List(ctx context.Context, prefix string) ([]Entry, int64, error)
 	// Put writes a value if the key's current revision is expect; zero means that the key must not exist. It returns
 	// the new revision, or ErrConflict, ErrTooLarge, or ErrLeaseNotFound.
 	Put(ctx context.Context, key string, value []byte, expect int64, lease LeaseID) (int64, error)
@@ -44,7 +45,8 @@
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, id LeaseID) error
 	// Watch waits up to wait for entries under the prefix that changed after the given revision. It returns their
-	// latest states and the revision to continue from. It returns no entries when the wait is over.
+	// latest states and the revision to continue from. It returns no entries when the wait is over. After revision 0 it
+	// returns the entries as they are. ErrCompacted means that the history since the revision is no longer available.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Entry, int64, error)
 }
 
--- /dev/null
+++ b/traffic/share.go
@@ -0,0 +1,7 @@
+package traffic
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string
+	Weight  float64
+}
--- /dev/null
+++ b/traffic/table.go
@@ -0,0 +1,28 @@
+// Package traffic describes which requests exist and where they may go: routes, services and limits. A table is
+// immutable once it is in force, so that a request sees one version from its arrival to its end.
+package traffic
+
+import "strings"
+
+// Table is one version of the routing.
+type Table struct {
+	Version  int64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+}
+
+// Find returns the route of a host with the longest prefix that begins the path, or nil.
+func (t *Table) Find(host, path string) *Route {
+	var found *Route
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if r.Host != "" && !strings.EqualFold(r.Host, host) || !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if found == nil || len(r.Prefix) > len(found.Prefix) {
+			found = r
+		}
+	}
+	return found
+}
