Keep long prompts apart from running answers; refuse early; charge repeated prompt reads

SIGHUP ended the process; an error of this instance could bear a replica's header; a request taken after the drain delay could be cut by the stop; prompt reads after a refusal were not charged to the budget.

--- a/cmd/rhubarbpoint/serve.go
+++ b/cmd/rhubarbpoint/serve.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 
@@ -39,9 +41,17 @@
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	logger := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: c.level}))
-	if err := daemon.Run(ctx, s, logger); err != nil {
+	if err := daemon.Run(ctx, s, logger, c.reload); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
+
+// reload reads the settings again after SIGHUP and when the file changes.
+func (c *serveCommand) reload(ctx context.Context, apply func(*settings.Settings), failed func(error)) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	settings.Watch(ctx, c.settings, hup, apply, failed)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,18 +26,25 @@
 
 // Run serves until the context ends, then stops gracefully: it gives up its authority, tells its peers, lets the balancer
 // notice, and finishes the requests in flight. It returns an error when a listener fails or a request was cut off.
-func Run(ctx context.Context, s *settings.Settings, logger *slog.Logger) error {
+//
+// reload calls its argument with the settings each time that they are read again; it may be nil. Settings that cannot
+// change while the process runs take effect at its next start.
+func Run(ctx context.Context, s *settings.Settings, logger *slog.Logger, reload Reload) error {
+	if reload == nil {
+		reload = func(context.Context, func(*settings.Settings), func(error)) {}
+	}
 	if s.Routes == settings.RoutesFromPlatform {
 		r, err := newRouted(ctx, s, logger)
 		if err != nil {
 			return err
 		}
-		return r.run(ctx)
+		return r.run(ctx, reload)
 	}
 	i, err := newInstance(ctx, s, logger)
 	if err != nil {
 		return err
 	}
+	go reload(ctx, reloadLogger(logger, s, func(*settings.Settings) {}), reloadFailed(logger))
 	eventStarted.Log(ctx, logger, slog.String("instance", i.member.Self()), slog.Int("pid", os.Getpid()))
 	failed := i.start()
 	select {
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -15,6 +15,11 @@
 		"The process ends.")
 	eventListenerFailed = event.New(1003, "listener failed", slog.LevelError,
 		"A listener failed. The instance stops gracefully.")
+	eventReloaded = event.New(1005, "settings read again", slog.LevelInfo,
+		"The settings file has changed or SIGHUP came. The attribute at_next_start names the changed fields that need a new "+
+			"start of the process.")
+	eventReloadFailed = event.New(1006, "settings refused", slog.LevelError,
+		"The settings file was read again and is not valid. The process goes on with the settings that it has.")
 	eventGateKept = event.New(1004, "gate not handed over", slog.LevelWarn,
 		"Some engines keep this process as their gate. Their orders are suspended until the instance list no longer "+
 			"shows it.")
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -40,6 +40,7 @@
 	metrics   metrics.Registry
 	listeners *listeners
 
+	store     *platform.Client
 	discovery *discovery.Service
 	replicas  *upstream.Registry
 	board     *place.Board
@@ -62,8 +63,9 @@
 	r.board = place.NewBoard(place.Options{
 		Region: s.Region, Zone: s.Zone, Seed: engine.EpochHash(member.NewID(s.Instance)),
 	})
+	r.store = platform.New(s.Platform, r.metrics)
 	r.discovery = discovery.New(discovery.Options{
-		Store: platform.New(s.Platform, r.metrics), Replicas: r.replicas, Logger: logger,
+		Store: r.store, Replicas: r.replicas, Logger: logger,
 		Format: discovery.Format{
 			TableKey: platform.KeyTraffic, ReplicaPrefix: platform.PrefixReplicas, Table: platform.DecodeTable,
 			ReplicaID: platform.ReplicaID,
@@ -91,13 +93,17 @@
 }
 
 // run serves until the context ends and then stops gracefully.
-func (r *routed) run(ctx context.Context) error {
+func (r *routed) run(ctx context.Context, reload Reload) error {
 	eventStarted.Log(ctx, r.logger, slog.String("instance", r.settings.Instance), slog.Int("pid", os.Getpid()))
 	failed := make(chan error, 2)
 	var parts context.Context
 	parts, r.stopParts = context.WithCancel(context.Background())
 	r.running.Go(func() { r.discovery.Run(parts) })
 	r.running.Go(func() { r.prune(parts) })
+	r.running.Go(func() {
+		reload(parts, reloadLogger(r.logger, r.settings, func(next *settings.Settings) { r.store.SetAddress(next.Platform) }),
+			reloadFailed(r.logger))
+	})
 	r.serve(failed, func() error { return r.operator.Serve(r.listeners.operator) })
 	r.serve(failed, func() error { return r.front.Serve(r.listeners.caller) })
 	var err error
--- a/entry/front.go
+++ b/entry/front.go
@@ -67,6 +67,7 @@
 	f.ready.Store(false)
 	f.server.SetClosing()
 	time.Sleep(delay)
+	f.server.refusing.Store(true)
 	err := f.shutdown(min(limit, f.server.grace(time.Now())+writeTimeout))
 	if err != nil {
 		eventDrainOverdue.Log(ctx, logger)
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -56,6 +56,9 @@
 	if route == nil {
 		return notRun(http.StatusNotFound, codeUnknownRoute, "no route has this host and path")
 	}
+	if s.refusing.Load() {
+		return notRun(http.StatusServiceUnavailable, codeStopping, "the instance stops").after(refusalPause)
+	}
 	x := &routedExchange{
 		server: s, routing: routing, table: table, route: route, call: call, w: w, control: http.NewResponseController(w),
 		last: call.After, deadline: call.Deadline,
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -37,8 +37,11 @@
 	request pipeline.Request
 
 	deadline time.Time
-	tried    map[upstream.Incarnation]bool
-	refused  map[upstream.Incarnation]bool
+	// cache is the processed prompt at another replica, cacheAt that replica.
+	cache   *relay.CacheHandle
+	cacheAt *upstream.Replica
+	tried   map[upstream.Incarnation]bool
+	refused map[upstream.Incarnation]bool
 	// answer is a failure that a replica answered, which is passed on if no attempt does better.
 	answer *wholeAnswer
 	// begun is set once the head of a stream has been written, last is the last event that the caller has.
@@ -60,7 +63,8 @@
 func (x *routedExchange) Place(context.Context) (place.Placement, error) {
 	now := time.Now()
 	p, err := x.routing.Board.Choose(now, x.service, x.routing.Replicas.Of(x.service.Name), &place.Request{
-		Prompt: x.call.Prompt, Deadline: x.deadline, Tried: x.tried, Refused: x.refused, Continues: x.begun,
+		Cached: x.cacheAt,
+		Prompt: x.call.Prompt, Deadline: x.deadline, Target: x.route.TargetLatency, Tried: x.tried, Refused: x.refused, Continues: x.begun,
 	})
 	switch {
 	case err == nil:
@@ -78,18 +82,21 @@
 	leg := &relay.Leg{
 		Replica: p.Run, Deadline: x.deadline.Add(-legMargin), After: x.last, Priority: x.route.Priority,
 	}
-	uncached := p.Uncached
 	if p.Prefill != nil {
-		leg.Cache = x.prefill(ctx, p)
-		if leg.Cache != nil {
-			uncached = 0
+		if err := x.prefill(ctx, p); err != nil {
+			return err
 		}
 	}
-	if err := context.Cause(ctx); err != nil {
-		return errors.Mark(errors.Mark(err, pipeline.ErrNotSent), pipeline.ErrFinal)
+	uncached := p.Uncached
+	if x.cache != nil {
+		leg.Cache, uncached = x.cache, 0
 	}
 	err := x.send(ctx, leg, uncached)
 	x.judge(ctx, p.Run, err)
+	if leg.Cache != nil && err != nil && !errors.Is(err, relay.ErrNotSent) && !errors.Is(err, relay.ErrOtherInstance) {
+		// The replica may have fetched the cache, which can be done once, or have failed to.
+		x.cache, x.cacheAt = nil, nil
+	}
 	return mark(err)
 }
 
@@ -141,14 +148,22 @@
 	return nil
 }
 
-// prefill has another replica process the prompt. It returns nil when that fails; the request then runs without.
-func (x *routedExchange) prefill(ctx context.Context, p place.Placement) *relay.CacheHandle {
+// prefill has another replica process the prompt. The answer has not begun then, so a failure is one of an attempt that
+// did not run; the service counts it as a repeat when the request is sent again.
+func (x *routedExchange) prefill(ctx context.Context, p place.Placement) error {
 	handle, err := x.processPrompt(ctx, p)
-	if err != nil {
-		x.judge(ctx, p.Prefill, err)
+	if err == nil {
+		x.cache, x.cacheAt = handle, p.Prefill
 		return nil
 	}
-	return handle
+	x.judge(ctx, p.Prefill, err)
+	switch {
+	case errors.Is(err, relay.ErrNotSent):
+		return errors.Mark(err, pipeline.ErrNotSent)
+	case errors.Is(err, relay.ErrEnded):
+		return errors.Mark(errors.Mark(err, pipeline.ErrNotRun), pipeline.ErrFinal)
+	}
+	return errors.Mark(err, pipeline.ErrNotRun)
 }
 
 func (x *routedExchange) processPrompt(ctx context.Context, p place.Placement) (*relay.CacheHandle, error) {
--- a/entry/routed_finish.go
+++ b/entry/routed_finish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -39,11 +40,11 @@
 		final.Status = endStatus(final, sent)
 		return final.after(refusalPause)
 	}
-	var late *place.TooLateError
+	var busy *place.BusyError
 	switch {
-	case errors.As(err, &late):
-		return failure(sent, unavailable(sent), codeTooLate, "the answer cannot be ready by the deadline").
-			after(max(refusalPause, late.First-late.Left))
+	case errors.As(err, &busy):
+		return failure(sent, unavailable(sent), codeTooLate, "the replicas have too much work before this request").
+			after(refusalPause + time.Duration(rand.Float64()*float64(refusalPause+busy.Over)))
 	case errors.Is(err, pipeline.ErrNoUpstream):
 		return failure(sent, unavailable(sent), codeNoUpstream, "no replica of the service takes requests").after(refusalPause)
 	case sent:
--- a/entry/routed_stream.go
+++ b/entry/routed_stream.go
@@ -23,21 +23,19 @@
 // stream passes on the events of an answer, each when it is whole. After a broken attempt the next one continues behind
 // the last event, in the same answer.
 func (x *routedExchange) stream(ex *relay.Exchange) error {
-	if !x.begun {
-		x.copyHeader(ex.Header())
-	}
 	var pending []byte
 	piece := make([]byte, streamReadBytes)
 	for {
 		n, err := ex.Read(piece)
 		pending = append(pending, piece[:n]...)
-		rest, writeErr := x.events(pending)
+		rest, writeErr := x.events(ex, pending)
 		pending = append(pending[:0], rest...)
 		switch {
 		case writeErr != nil:
 			return writeErr
 		case err == io.EOF && len(pending) == 0:
-			return x.endStream()
+			x.begin(ex)
+			return nil
 		case err == io.EOF:
 			return errors.Mark(errors.New("entry: stream ended inside an event"), relay.ErrBroken)
 		case err != nil:
@@ -49,7 +47,7 @@
 }
 
 // events writes the whole events at the beginning of data that the caller does not have yet, and returns the rest.
-func (x *routedExchange) events(data []byte) (rest []byte, err error) {
+func (x *routedExchange) events(ex *relay.Exchange, data []byte) (rest []byte, err error) {
 	var fresh []byte
 	for {
 		end := bytes.Index(data, eventEnd)
@@ -70,16 +68,24 @@
 	if len(fresh) == 0 {
 		return data, nil
 	}
+	x.begin(ex)
 	return data, x.write(fresh)
 }
 
+// begin writes the head of the answer, unless an earlier attempt did. Until then the request can still fail with a status
+// of its own, which must not bear a replica's header.
+func (x *routedExchange) begin(ex *relay.Exchange) {
+	if x.begun {
+		return
+	}
+	x.begun, x.first = true, time.Now()
+	x.server.metrics.firstToken.Update(x.first.Sub(x.call.Arrived).Milliseconds())
+	x.copyHeader(ex.Header())
+	x.w.WriteHeader(http.StatusOK)
+}
+
 func (x *routedExchange) write(data []byte) error {
 	x.control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if !x.begun {
-		x.begun, x.first = true, time.Now()
-		x.server.metrics.firstToken.Update(x.first.Sub(x.call.Arrived).Milliseconds())
-		x.w.WriteHeader(http.StatusOK)
-	}
 	_, err := x.w.Write(data)
 	if err == nil {
 		err = x.control.Flush()
@@ -89,12 +95,3 @@
 	}
 	return nil
 }
-
-// endStream ends an answer without events too.
-func (x *routedExchange) endStream() error {
-	if !x.begun {
-		x.begun = true
-		x.w.WriteHeader(http.StatusOK)
-	}
-	return nil
-}
--- a/entry/server.go
+++ b/entry/server.go
@@ -29,6 +29,8 @@
 	// leaving has the engines that are being reported.
 	leaving sync.Map
 	closing atomic.Bool
+	// refusing is set when routed requests can no longer end before a planned stop does.
+	refusing atomic.Bool
 	// latest is the latest deadline of any request, in Unix milliseconds.
 	latest atomic.Int64
 }
--- a/place/board.go
+++ b/place/board.go
@@ -56,7 +56,7 @@
 }
 
 // Choose returns the placement of a request among the replicas of a service. It returns ErrNoReplica or a
-// *TooLateError.
+// *BusyError.
 func (b *Board) Choose(now time.Time, service *traffic.Service, replicas []*upstream.Replica, req *Request) (Placement, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -88,7 +88,7 @@
 	if service.Engine != nil {
 		b.cache(l, service).use(prompt.Parts)
 	}
-	if replica.Stage == upstream.Prefill && l.waiting == 0 && l.tokens == 0 {
+	if replica.Stage == upstream.Prefill && l.others == 0 && l.tokens == 0 {
 		b.pace(replica.Service).prompt(tokens, took)
 	}
 }
--- a/place/engine.go
+++ b/place/engine.go
@@ -11,13 +11,23 @@
 const (
 	// handoffMs is the time of the two calls of a prompt that is processed on another replica, beside the network.
 	handoffMs = 3.0
-	// handoffTokens is the number of unprocessed tokens below which another replica is not worth its calls.
-	handoffTokens = 512
-	// crowdMs is the harm of one more running request to the others at a replica, in milliseconds at a full batch.
+	// longPrompt is the number of unprocessed tokens from which a prompt is kept apart from running answers: every step of
+	// a batch waits for the piece of a prompt that is processed with it.
+	longPrompt = 512
+	// readWeight is the price of a millisecond of a replica's time for a prompt, in milliseconds of the request's own wait.
+	// Processing shared parts again takes that time from all others.
+	readWeight = 3.0
+	// lateWeight is the price of a millisecond beyond the comfortable part of the target latency.
+	lateWeight = 5.0
+	// comfort is the part of the target latency up to which waiting hardly matters to the caller.
+	comfort = 0.6
+	// waitWeight is the price of a millisecond below that.
+	waitWeight = 0.3
+	// crowdMs is the harm of a full batch to one more request, in milliseconds.
 	crowdMs = 20.0
-	// homeBonus is the share of the unprocessed prompt by which its home is preferred. All instances of a zone find the
-	// same home, so that a part is processed at few replicas.
-	homeBonus = 0.5
+	// rankMs is the advantage of a replica that is next in line after a prompt's home, so that requests which avoid a busy
+	// home meet again.
+	rankMs = 5.0
 )
 
 // option is one replica that can process the prompt, and what that would cost.
@@ -25,78 +35,96 @@
 	replica  *upstream.Replica
 	score    float64 // milliseconds, with preferences
 	first    float64 // milliseconds to the first token
+	wait     float64 // milliseconds of first that are spent behind other requests
 	uncached int
 }
 
-// chooseEngine chooses the replica that processes the prompt by its backlog in tokens and by what it has cached, and the
-// one that generates by its batch.
+// chooseEngine chooses the replica for a generation. Long prompts go to replicas that process prompts, short ones to
+// replicas that answer, so that a burst of prompts does not slow down the answers that run.
 func (b *Board) chooseEngine(now time.Time, service *traffic.Service, replicas []*upstream.Replica, req *Request) (Placement, error) {
-	best := option{score: math.Inf(1)}
-	home := b.home(replicas, req.Prompt.Parts)
+	usable := make([]*upstream.Replica, 0, len(replicas))
 	for _, r := range replicas {
-		if req.Refused[r.Incarnation()] {
-			continue
+		if !req.Refused[r.Incarnation()] {
+			usable = append(usable, r)
 		}
-		o := b.option(now, service, r, req, home)
-		if r.Stage == upstream.Prefill && (o.uncached < handoffTokens || req.Continues) {
-			continue
+	}
+	readers, answerers := divide(usable)
+	if len(usable) == 0 || len(answerers) == 0 {
+		return Placement{}, ErrNoReplica
+	}
+	if req.Cached != nil {
+		p := Placement{Run: b.answerer(now, service, answerers, req, req.Cached)}
+		return b.placement(now, &p, 0, req)
+	}
+	shared := sharedTokens(&req.Prompt)
+	if req.Prompt.Tokens-shared < longPrompt && req.Prompt.Tokens < 2*longPrompt || req.Continues {
+		return b.chooseAnswerer(now, service, answerers, req)
+	}
+	best := option{score: math.Inf(1)}
+	home, second := homes(readers, req.Prompt.Parts)
+	for _, r := range readers {
+		o := b.option(now, service, r, req, shared, r == home)
+		if r == second {
+			o.score -= rankMs
 		}
 		if o.score < best.score {
 			best = o
 		}
 	}
-	if best.replica == nil {
-		return Placement{}, ErrNoReplica
-	}
-	p := Placement{Run: best.replica, Uncached: best.uncached}
+	p := Placement{Run: best.replica, Uncached: best.uncached, Wait: milliseconds(best.wait)}
 	if best.replica.Stage == upstream.Prefill {
-		run := b.decoder(now, service, best.replica, replicas, req)
-		if run == nil {
-			return Placement{}, ErrNoReplica
-		}
-		p.Prefill, p.Run = best.replica, run
+		p.Prefill, p.Run = best.replica, b.answerer(now, service, answerers, req, best.replica)
 	}
 	return b.placement(now, &p, best.first, req)
 }
 
-// option estimates the time to the first token at a replica.
-func (b *Board) option(now time.Time, service *traffic.Service, r *upstream.Replica, req *Request, home *upstream.Replica) option {
+// option estimates what a long prompt costs at a replica.
+func (b *Board) option(now time.Time, service *traffic.Service, r *upstream.Replica, req *Request, shared int, isHome bool) option {
 	l, p := b.load(r.Incarnation()), b.pace(service.Name)
 	relative := 1.0
 	if r.Stage != upstream.Prefill {
 		relative = decodePace
 	}
 	cached := b.cache(l, service).cached(req.Prompt.Parts)
+	if isHome {
+		// Requests of other instances have left the shared parts there.
+		cached = max(cached, shared)
+	}
 	uncached := max(1, req.Prompt.Tokens-cached)
-	backlog := float64(l.tokens) + l.waiting*l.fade(now)*p.meanTokens
-	first := b.trip(r) + p.ms(backlog+float64(uncached), relative) + float64(r.Cold.Milliseconds())
+	read := p.ms(float64(uncached), relative)
+	wait := p.ms(l.backlog(now, p.meanTokens), relative) + float64(r.Cold.Milliseconds())
+	first := b.trip(r) + wait + read
 	if r.Stage == upstream.Prefill {
 		first += handoffMs + b.trip(r)
 	}
-	score := first + crowdMs*l.requests(now)/float64(max(1, service.Engine.Slots)) + tieNoise*b.random.Float64()
-	if r == home {
-		score -= homeBonus * p.ms(float64(req.Prompt.Tokens), relative)
-	}
+	calm := comfort * req.Target.Seconds() * 1000
+	score := readWeight*read + waitWeight*first + lateWeight*math.Max(0, first-calm) + tieNoise*b.random.Float64()
 	if req.Tried[r.Incarnation()] {
 		score += triedPenalty
 	}
-	return option{replica: r, score: score, first: first, uncached: uncached}
+	return option{replica: r, score: score, first: first, wait: wait, uncached: uncached}
 }
 
-// decoder chooses the replica that generates the answer to a prompt that is processed elsewhere: near the source of the
-// KV cache, with the emptiest batch.
-func (b *Board) decoder(now time.Time, service *traffic.Service, source *upstream.Replica, replicas []*upstream.Replica, req *Request) *upstream.Replica {
+// chooseAnswerer places a short prompt.
+func (b *Board) chooseAnswerer(now time.Time, service *traffic.Service, answerers []*upstream.Replica, req *Request) (Placement, error) {
+	best := b.answerer(now, service, answerers, req, nil)
+	l := b.load(best.Incarnation())
+	wait := crowdMs * l.requests(now) / float64(max(1, service.Engine.Slots))
+	p := Placement{Run: best, Uncached: req.Prompt.Tokens, Wait: milliseconds(wait)}
+	return b.placement(now, &p, b.trip(best)+wait+b.pace(service.Name).ms(float64(req.Prompt.Tokens), decodePace), req)
+}
+
+// answerer returns the replica with the emptiest batch, near the source of the KV cache if there is one.
+func (b *Board) answerer(now time.Time, service *traffic.Service, answerers []*upstream.Replica, req *Request, source *upstream.Replica) *upstream.Replica {
 	var best *upstream.Replica
 	bestScore := math.Inf(1)
-	for _, r := range replicas {
+	for _, r := range answerers {
 		start := r.Incarnation()
-		if r.Stage == upstream.Prefill || req.Refused[start] {
-			continue
-		}
 		l := b.load(start)
-		score := 2*tripBetween(source.Region, source.Zone, r.Region, r.Zone) + b.trip(r) +
-			crowdMs*l.requests(now)/float64(max(1, service.Engine.Slots)) + b.pace(service.Name).ms(float64(l.tokens), decodePace) +
-			tieNoise*b.random.Float64()
+		score := waitWeight*b.trip(r) + crowdMs*l.requests(now)/float64(max(1, service.Engine.Slots)) + tieNoise*b.random.Float64()
+		if source != nil {
+			score += tripBetween(source.Region, source.Zone, r.Region, r.Zone)
+		}
 		if req.Tried[start] {
 			score += triedPenalty
 		}
@@ -106,3 +134,27 @@
 	}
 	return best
 }
+
+// divide divides the replicas of a service into those that process long prompts and those that run answers: replicas in
+// stage Prefill are readers, and of the others in each zone every second one, by ID, so that all instances agree. Where
+// too few are left to divide, they do both.
+func divide(replicas []*upstream.Replica) (readers, answerers []*upstream.Replica) {
+	seen := make(map[string]int)
+	for _, r := range replicas {
+		if r.Stage == upstream.Prefill {
+			readers = append(readers, r)
+			continue
+		}
+		if seen[r.Zone]++; seen[r.Zone]%2 == 0 {
+			readers = append(readers, r)
+		} else {
+			answerers = append(answerers, r)
+		}
+	}
+	if len(readers) == 0 {
+		readers = answerers
+	}
+	return readers, answerers
+}
+
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
--- a/place/home.go
+++ b/place/home.go
@@ -9,23 +9,34 @@
 	"rhubarbpoint/upstream"
 )
 
-// home returns the nearby replica on which requests with the same shared prompt should meet, or nil. It is the same for
-// all instances of a zone that know the same replicas, and moves only with the replica itself (weighted rendezvous).
-func (b *Board) home(replicas []*upstream.Replica, parts []relay.Part) *upstream.Replica {
+// homes returns the replica on which requests with the same shared prompt should meet, and the next in line, or nil. They
+// are the same for all instances that know the same replicas, and change only with the replicas themselves (weighted
+// rendezvous).
+func homes(replicas []*upstream.Replica, parts []relay.Part) (first, second *upstream.Replica) {
 	if len(parts) < 2 {
-		return nil
+		return nil, nil
 	}
 	// The last part belongs to one request or session.
 	shared := parts[len(parts)-2].ID
-	var best *upstream.Replica
-	bestTrip, bestRank := math.Inf(1), 0.0
+	firstRank, secondRank := 0.0, 0.0
 	for _, r := range replicas {
-		trip, rank := b.trip(r), rendezvous(shared, r)
-		if trip < bestTrip || trip == bestTrip && rank > bestRank {
-			best, bestTrip, bestRank = r, trip, rank
+		switch rank := rendezvous(shared, r); {
+		case rank > firstRank:
+			first, second, firstRank, secondRank = r, first, rank, firstRank
+		case rank > secondRank:
+			second, secondRank = r, rank
 		}
 	}
-	return best
+	return first, second
+}
+
+// sharedTokens returns the length of the parts that other requests can have in common with the prompt.
+func sharedTokens(p *relay.Prompt) int {
+	tokens := 0
+	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+		tokens += part.Tokens
+	}
+	return tokens
 }
 
 // rendezvous ranks a replica for a part, in proportion to its pace.
--- a/place/load.go
+++ b/place/load.go
@@ -17,17 +17,16 @@
 	// been processed yet.
 	inFlight int
 	tokens   int
-	// others and waiting are the requests of other instances and the requests in the queue, as last reported.
-	others, waiting float64
-	slots           int
-	reportedAt      time.Time
-	cache           *prefixes
+	// others are the requests of other instances, as last reported.
+	others     float64
+	slots      int
+	reportedAt time.Time
+	cache      *prefixes
 }
 
 // report takes a replica's statement of its load.
 func (l *load) report(now time.Time, r *relay.Load) {
 	l.others = math.Max(0, float64(r.Running+r.Waiting-l.inFlight))
-	l.waiting = float64(r.Waiting)
 	if r.Slots > 0 {
 		l.slots = r.Slots
 	}
@@ -42,6 +41,12 @@
 	return math.Exp(-now.Sub(l.reportedAt).Seconds() / reportDecay.Seconds())
 }
 
+// backlog estimates the prompt tokens that are still to be processed, of mean tokens for each request of another
+// instance.
+func (l *load) backlog(now time.Time, mean float64) float64 {
+	return float64(l.tokens) + l.others*l.fade(now)*mean
+}
+
 // requests estimates the requests at the replica.
 func (l *load) requests(now time.Time) float64 {
 	return float64(l.inFlight) + l.others*l.fade(now)
--- a/place/placement.go
+++ b/place/placement.go
@@ -14,6 +14,8 @@
 	Prefill *upstream.Replica
 	// Uncached is the estimated number of prompt tokens that must be processed.
 	Uncached int
+	// Wait is the estimated time behind other requests.
+	Wait time.Duration
 	// First is the estimated time to the first byte of the answer.
 	First time.Duration
 	// ReportAge is the age of the load report behind the estimate, negative if there is none.
--- a/place/plain.go
+++ b/place/plain.go
@@ -21,7 +21,7 @@
 func (b *Board) choosePlain(now time.Time, service *traffic.Service, replicas []*upstream.Replica, req *Request) (Placement, error) {
 	work := b.pace(service.Name).work.Seconds() * 1000
 	var best *upstream.Replica
-	bestScore, bestFirst := math.Inf(1), 0.0
+	bestScore, bestFirst, bestWait := math.Inf(1), 0.0, 0.0
 	for _, r := range replicas {
 		start := r.Incarnation()
 		if req.Refused[start] {
@@ -30,23 +30,28 @@
 		l := b.load(start)
 		slots := float64(firstOf(l.slots, r.Slots, defaultSlots))
 		busy := l.requests(now)
+		wait := work * math.Max(0, busy+1-slots) / slots
 		// Work is shared out evenly below the limit too, because a new request can meet one of another instance.
-		first := b.trip(r) + work + work*math.Max(0, busy+1-slots)/slots
+		first := b.trip(r) + work + wait
 		score := first + work*busy/slots/2 + tieNoise*b.random.Float64()
 		if req.Tried[start] {
 			score += triedPenalty
 		}
 		if score < bestScore {
-			best, bestScore, bestFirst = r, score, first
+			best, bestScore, bestFirst, bestWait = r, score, first, wait
 		}
 	}
 	if best == nil {
 		return Placement{}, ErrNoReplica
 	}
-	return b.placement(now, &Placement{Run: best}, bestFirst, req)
+	return b.placement(now, &Placement{Run: best, Wait: milliseconds(bestWait)}, bestFirst, req)
 }
 
-// placement completes a choice, or refuses it when the answer cannot begin before the deadline.
+// queueShare is the least part of the target latency that a request may spend behind others.
+const queueShare = 0.3
+
+// placement completes a choice, or refuses it. A request that would wait so long that it misses its target would make all
+// behind it miss theirs, so a queue stays as short as the targets allow and the rest is told to come back.
 func (b *Board) placement(now time.Time, p *Placement, firstMs float64, req *Request) (Placement, error) {
 	p.First = time.Duration(firstMs * float64(time.Millisecond))
 	lead := p.Run
@@ -54,8 +59,17 @@
 		lead = p.Prefill
 	}
 	p.ReportAge = b.load(lead.Incarnation()).age(now)
-	if left := req.Deadline.Sub(now); p.First > left && !req.Continues {
-		return Placement{}, &TooLateError{First: p.First, Left: left}
+	if req.Continues {
+		return *p, nil
+	}
+	left := req.Deadline.Sub(now)
+	over := p.First - left
+	if req.Target > 0 {
+		limit := max(req.Target-(p.First-p.Wait), time.Duration(queueShare*float64(req.Target)))
+		over = max(over, p.Wait-limit)
+	}
+	if over > 0 {
+		return Placement{}, &BusyError{First: p.First, Wait: p.Wait, Left: left, Over: over}
 	}
 	return *p, nil
 }
--- a/place/request.go
+++ b/place/request.go
@@ -12,6 +12,10 @@
 	Prompt relay.Prompt
 	// Deadline is when the answer is of no use any more.
 	Deadline time.Time
+	// Target is the time to the first byte that is of full use to the caller.
+	Target time.Duration
+	// Cached is the replica that holds the processed prompt, or nil.
+	Cached *upstream.Replica
 	// Tried replicas are chosen only when no other is left, Refused ones not at all.
 	Tried   map[upstream.Incarnation]bool
 	Refused map[upstream.Incarnation]bool
