--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rhubarbpoint/engine"
+	"rhubarbpoint/pipeline"
 	"rhubarbpoint/route"
 	"rhubarbpoint/suspect"
 )
@@ -21,12 +22,26 @@
 	errCallerGone = errors.New("entry: caller cannot be reached")
 )
 
-// once makes one attempt.
-func (g *generation) once(ctx context.Context) error {
-	choice, run, err := g.place(ctx)
-	if err != nil {
-		return err
+// placement is an engine and the registration of the attempt there.
+type placement struct {
+	choice route.Choice
+	run    *suspect.Run
+}
+
+// Place implements pipeline.Exchange.
+func (g *generation) Place(ctx context.Context) (placement, error) {
+	if g.repeated {
+		if final := g.refreshVersion(); final != nil {
+			return placement{}, errors.Mark(final, pipeline.ErrFinal)
+		}
 	}
+	choice, run, err := g.place(ctx)
+	return placement{choice, run}, g.mark(err)
+}
+
+// Attempt implements pipeline.Exchange.
+func (g *generation) Attempt(ctx context.Context, p placement) error {
+	choice, run := p.choice, p.run
 	defer func() { run.End(time.Now()) }()
 	g.attempts++
 	before := len(g.whole.Delivered())
@@ -55,7 +70,7 @@
 		g.s.attemptFailed(ctx, g.req.RequestID, choice.EngineID, choice.Address, run, err)
 		g.route.Exclude[choice.EngineID] = true
 	}
-	return err
+	return g.mark(err)
 }
 
 // stream sends the request and delivers the tokens. It returns the time of the attempt's first new token.
@@ -74,7 +89,7 @@
 		return first, err
 	}
 	defer frames.Close()
-	g.noEngine = time.Time{}
+	g.request.Accepted()
 	for !g.whole.Done() {
 		frame, err := frames.Recv()
 		if errors.Is(err, io.EOF) {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -1,82 +1,70 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"net"
-	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"rhubarbpoint/claim"
 	"rhubarbpoint/config"
+	"rhubarbpoint/pipeline"
+	"rhubarbpoint/relay"
+	"rhubarbpoint/upstream"
 )
 
-// serviceIdleTimeout is short, because an idle connection can go silent without notice.
-const serviceIdleTimeout = 5 * time.Second
-
-// Errors of exchanges with plain services.
-var (
-	// errNotSent means that no connection was made.
-	errNotSent = errors.New("entry: call not sent")
-	// errNoAnswer means that the whole answer did not come.
-	errNoAnswer = errors.New("entry: no whole answer from the service")
-)
-
-// exchange is one call to a plain service.
+// exchange is one call to a plain service. It implements pipeline.Exchange and is for one goroutine.
 type exchange struct {
 	server  *Server
-	call    *call
 	service *config.Service
-	method  string
-	target  string // escaped path and query
-	header  http.Header
-	body    []byte
+	call    *relay.Call
+	// replicas are tried in this order, from the beginning again after the last.
+	replicas []config.Upstream
+	next     int
+	// fresh forbids connections that were used before.
+	fresh bool
+	// answer is the last whole answer.
+	answer *claim.Answer
+}
+
+// Place implements pipeline.Exchange.
+func (e *exchange) Place(context.Context) (config.Upstream, error) {
+	if len(e.replicas) == 0 {
+		return config.Upstream{}, errors.Mark(errors.New("entry: the service has no replicas"), pipeline.ErrNoUpstream)
+	}
+	replica := e.replicas[e.next%len(e.replicas)]
+	e.next++
+	return replica, nil
 }
 
-// boundedDial limits the time of a dial and marks its errors, so that they can be told from those after it.
-func boundedDial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, serviceDialTimeout)
-		defer cancel()
-		conn, err := dial(ctx, network, addr)
-		return conn, errors.Mark(err, errNotSent)
+// Attempt implements pipeline.Exchange.
+func (e *exchange) Attempt(ctx context.Context, replica config.Upstream) error {
+	answer, err := e.send(ctx, replica)
+	if err == nil {
+		e.answer = answer
+		err = judgeStatus(answer.Status)
 	}
+	e.judge(ctx, replica, err)
+	return mark(err)
 }
 
 // send makes the call to one replica and returns the whole answer. It follows no redirects.
-func (e *exchange) send(ctx context.Context, over http.RoundTripper, addr string) (*claim.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, orDefault(e.service.Timeout.D(), defaultServiceTimeout))
+func (e *exchange) send(ctx context.Context, replica config.Upstream) (*claim.Answer, error) {
+	timeout := orDefault(e.service.Timeout.D(), defaultServiceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, e.method, "http://"+addr+e.target, bytes.NewReader(e.body))
+	leg := &relay.Leg{Replica: &upstream.Replica{ID: replica.ID, Address: replica.Address}, Deadline: time.Now().Add(timeout), After: -1}
+	ex, err := relay.Send(ctx, e.server.pool, serviceDialect{}, e.call, leg, e.fresh)
 	if err != nil {
-		return nil, errors.Mark(err, errNotSent)
+		return nil, err
 	}
-	// Without GetBody the transport cannot repeat the request by itself.
-	req.GetBody = nil
-	req.Header = e.header.Clone()
-	resp, err := over.RoundTrip(req)
-	if err != nil {
-		return nil, errors.Mark(err, errNoAnswer)
+	defer ex.Close()
+	if !ex.Delimited() {
+		return nil, errors.Mark(errors.New("entry: answer without length, which can be cut off unnoticed"), relay.ErrBroken)
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	switch {
-	case err != nil:
-		return nil, errors.Mark(err, errNoAnswer)
-	case len(body) > maxAnswerBytes:
-		return nil, errors.Wrap(errNoAnswer, "answer too large")
-	case !e.isDelimited(resp):
-		return nil, errors.Wrap(errNoAnswer, "answer without length, which can be cut off unnoticed")
+	body, err := ex.Whole()
+	if err != nil {
+		return nil, err
 	}
-	return &claim.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
-}
-
-// isDelimited says whether the end of an answer can be told from a broken connection.
-func (e *exchange) isDelimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked") || e.method == http.MethodHead ||
-		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	return &claim.Answer{Status: ex.Status(), ContentType: ex.Header().Get("Content-Type"), Body: body}, nil
 }
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -11,7 +11,7 @@
 	"rhubarbpoint/admit"
 	"rhubarbpoint/config"
 	"rhubarbpoint/engine"
-	"rhubarbpoint/retry"
+	"rhubarbpoint/pipeline"
 	"rhubarbpoint/route"
 	"rhubarbpoint/stream"
 	"rhubarbpoint/suspect"
@@ -32,10 +32,10 @@
 	release func(now time.Time)
 	// sent is set once an engine may have received the request.
 	sent     bool
+	request  pipeline.Request
 	attempts int
-	charged  int
-	// noEngine is since when no engine takes the request; zero while one does.
-	noEngine   time.Time
+	// repeated is set when an attempt has failed since the last placement.
+	repeated   bool
 	firstToken time.Time
 	lastToken  time.Time
 }
@@ -67,6 +67,9 @@
 			ID: c.id, Model: model.Name, Version: version, Pieces: prompt.Pieces, PromptTokens: prompt.Tokens,
 			MaxTokens: maxTokens, Deadline: c.deadline, Exclude: make(map[string]bool),
 		},
+		request: pipeline.Request{
+			Repeatable: true, MaxRetries: maxCharged, Patience: noEngineWait, Budget: s.opts.Budget,
+		},
 		whole:       stream.NewAssembler(c.id, version, maxTokens),
 		fingerprint: suspect.Of(c.workspace.Name, model.Name, chat.Messages),
 	}, nil
@@ -87,66 +90,56 @@
 			g.release(time.Now())
 		}
 	}()
-	for {
-		err := g.once(ctx)
-		if err == nil {
-			g.s.expected.add(g.model.Name, len(g.whole.Delivered()), g.lastToken.Sub(g.firstToken))
-			return nil
-		}
-		if final := g.giveUp(ctx, err); final != nil {
-			return final
-		}
+	err := pipeline.Run(ctx, &g.request, g, func() {
 		g.s.metrics.retries.Inc(1)
-		if retry.Sleep(ctx, g.attempts) != nil {
-			return ended(ctx, g.sent)
-		}
-		if final := g.refreshVersion(); final != nil {
-			return final
-		}
+		g.repeated = true
+	})
+	if err == nil {
+		g.s.expected.add(g.model.Name, len(g.whole.Delivered()), g.lastToken.Sub(g.firstToken))
+		return nil
+	}
+	return g.failure(ctx, err)
+}
+
+// mark says what the pipeline may do after an error.
+func (g *generation) mark(err error) error {
+	resumes := len(g.whole.Delivered()) > 0
+	switch {
+	case errors.Is(err, suspect.ErrRefused), errors.Is(err, admit.ErrOverShare), errors.Is(err, admit.ErrTooLate),
+		errors.Is(err, route.ErrTooLate) && !resumes:
+		return errors.Mark(err, pipeline.ErrFinal)
+	case errors.Is(err, route.ErrNoEngine), errors.Is(err, route.ErrTooLate):
+		return errors.Mark(err, pipeline.ErrNoUpstream)
+	case errors.Is(err, engine.ErrDraining), errors.Is(err, engine.ErrUnknownModel):
+		return errors.Mark(err, pipeline.ErrPlanned)
 	}
+	return err
 }
 
-// giveUp decides after a failed attempt. It returns nil when another attempt is allowed.
-func (g *generation) giveUp(ctx context.Context, err error) *Error {
+// failure returns what the caller is told of the last error.
+func (g *generation) failure(ctx context.Context, err error) *Error {
 	if final := ended(ctx, g.sent); final != nil {
 		return final
 	}
-	resumes := len(g.whole.Delivered()) > 0
+	var told *Error
 	switch {
+	case errors.As(err, &told):
+		return told
 	case errors.Is(err, suspect.ErrRefused):
 		return failure(g.sent, http.StatusUnprocessableEntity, codeSuspect, "the request has crashed several engines")
 	case errors.Is(err, admit.ErrOverShare):
 		return failure(g.sent, http.StatusTooManyRequests, codeOverShare, "the workspace is over its share")
-	case errors.Is(err, admit.ErrTooLate), errors.Is(err, route.ErrTooLate) && !resumes:
+	case errors.Is(err, pipeline.ErrNoUpstream), errors.Is(err, pipeline.ErrPlanned):
+		return failure(g.sent, http.StatusServiceUnavailable, codeNoEngine,
+			"no engine has version "+g.whole.Version()+" of the model")
+	case errors.Is(err, admit.ErrTooLate), errors.Is(err, route.ErrTooLate):
 		return failure(g.sent, http.StatusServiceUnavailable, codeTooLate, "the answer cannot be ready by the deadline")
-	case errors.Is(err, route.ErrNoEngine), errors.Is(err, route.ErrTooLate):
-		return g.awaitEngine()
-	case errors.Is(err, engine.ErrDraining), errors.Is(err, engine.ErrUnknownModel):
-		// Planned changes cause these refusals, so they must not use up what protects against faults.
-		return g.awaitEngine()
-	}
-	if g.charged++; g.charged <= maxCharged && g.s.opts.Budget.Take() {
-		return nil
-	}
-	if errors.Is(err, engine.ErrOverloaded) {
+	case errors.Is(err, engine.ErrOverloaded):
 		return failure(g.sent, http.StatusServiceUnavailable, codeOverloaded, "the engines take no more requests")
 	}
 	return failure(g.sent, http.StatusBadGateway, codeRetries, "the request failed on every engine that was tried")
 }
 
-// awaitEngine bounds how long a request waits while no engine takes it.
-func (g *generation) awaitEngine() *Error {
-	now := time.Now()
-	if g.noEngine.IsZero() {
-		g.noEngine = now
-	}
-	if now.Sub(g.noEngine) < noEngineWait {
-		return nil
-	}
-	return failure(g.sent, http.StatusServiceUnavailable, codeNoEngine,
-		"no engine has version "+g.whole.Version()+" of the model")
-}
-
 // refreshVersion moves a request without tokens to the version in force, because the old one may be unloaded.
 func (g *generation) refreshVersion() *Error {
 	if len(g.whole.Delivered()) > 0 {
--- a/entry/idempotent.go
+++ b/entry/idempotent.go
@@ -10,54 +10,38 @@
 
 	"rhubarbpoint/claim"
 	"rhubarbpoint/config"
-	"rhubarbpoint/retry"
+	"rhubarbpoint/pipeline"
 )
 
 // runIdempotent calls one replica after another until one answers.
 func (e *exchange) runIdempotent(ctx context.Context) (*claim.Answer, *Error) {
 	s := e.server
-	replicas := s.replicas(time.Now(), e.service)
-	if len(replicas) == 0 {
-		return nil, notRun(http.StatusServiceUnavailable, codeNoUpstream, "the service has no replicas")
+	request := &pipeline.Request{Repeatable: true, MaxRetries: maxCharged, Budget: s.opts.Budget}
+	err := pipeline.Run(ctx, request, e, func() { s.metrics.retries.Inc(1) })
+	if err == nil {
+		return e.answer, nil
 	}
-	sent := false
-	for n := 1; ; n++ {
-		answer, err := e.try(ctx, replicas[(n-1)%len(replicas)])
-		sent = sent || !errors.Is(err, errNotSent)
-		if answer != nil && (err == nil || n > maxCharged) {
-			return answer, nil
-		}
-		if end := ended(ctx, sent); end != nil {
-			return nil, end
-		}
-		if n > maxCharged || !s.opts.Budget.Take() {
-			if answer != nil {
-				return answer, nil
-			}
-			return nil, failure(sent, http.StatusBadGateway, codeUpstream, "no replica of the service answered")
-		}
-		s.metrics.retries.Inc(1)
-		if retry.Sleep(ctx, n) != nil {
-			return nil, ended(ctx, sent)
-		}
+	if end := ended(ctx, request.MayHaveRun()); end != nil {
+		return nil, end
 	}
+	switch {
+	case e.answer != nil:
+		return e.answer, nil
+	case errors.Is(err, pipeline.ErrNoUpstream):
+		return nil, notRun(http.StatusServiceUnavailable, codeNoUpstream, "the service has no replicas")
+	}
+	return nil, failure(request.MayHaveRun(), http.StatusBadGateway, codeUpstream, "no replica of the service answered")
 }
 
 // errUnwell is an answer that says that the replica, not the call, is at fault.
 var errUnwell = errors.New("entry: replica reports a fault")
 
-// try makes one attempt. An answer together with an error is one that another replica should better.
-func (e *exchange) try(ctx context.Context, replica config.Upstream) (*claim.Answer, error) {
-	s := e.server
-	answer, err := e.send(ctx, s.idempotent, replica.Address)
-	if err == nil {
-		switch answer.Status {
-		case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-			err = errUnwell
-		}
+func judgeStatus(status int) error {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return errUnwell
 	}
-	e.judge(ctx, replica, err)
-	return answer, err
+	return nil
 }
 
 // judge counts a success or failure of a replica, unless the caller ended the call.
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -21,10 +21,6 @@
 	noEngineWait = 5 * time.Second
 	// defaultMaxTokens holds for a request that does not say how long its answer may be.
 	defaultMaxTokens = 1024
-	// maxAnswerBytes bounds the answer of a plain service.
-	maxAnswerBytes = 16 << 20
-	// serviceDialTimeout bounds the connection to a replica of a plain service.
-	serviceDialTimeout = time.Second
 	// stateTimeout bounds the question whether an engine has crashed.
 	stateTimeout = time.Second
 
--- a/entry/order.go
+++ b/entry/order.go
@@ -12,20 +12,21 @@
 
 	"rhubarbpoint/admit"
 	"rhubarbpoint/claim"
+	"rhubarbpoint/pipeline"
 )
 
 // runOrder runs a non-idempotent call under its claim.
-func (e *exchange) runOrder(ctx context.Context, key string) (*claim.Answer, *Error) {
+func (e *exchange) runOrder(ctx context.Context, c *call, key string) (*claim.Answer, *Error) {
 	s := e.server
 	if s.opts.Orders == nil {
 		return nil, notRun(http.StatusServiceUnavailable, codeOrdersOff, "the instance runs no orders")
 	}
 	var refusal atomic.Pointer[error] // the runner may return before the function has
-	answer, err := s.opts.Orders.Run(ctx, key, e.fingerprint(), func(ctx context.Context) (*claim.Answer, error) {
+	answer, err := s.opts.Orders.Run(ctx, key, e.fingerprint(c.workspace.Name), func(ctx context.Context) (*claim.Answer, error) {
 		// Admission comes after the claim, so that a refusal is certain to be not_run.
 		release, err := s.opts.Admitter.Admit(time.Now(), &admit.Request{
-			Workspace: e.call.workspace.Name, Weight: e.call.workspace.Weight,
-			Deadline: e.call.deadline, Estimate: time.Now(),
+			Workspace: c.workspace.Name, Weight: c.workspace.Weight,
+			Deadline: c.deadline, Estimate: time.Now(),
 		})
 		if err != nil {
 			refusal.Store(&err)
@@ -46,23 +47,22 @@
 // sendOnce sends the order to the first replica that accepts a connection. Nothing was sent to one that does not, so
 // the next may be tried; after a connection was made, none is.
 func (e *exchange) sendOnce(ctx context.Context) (*claim.Answer, error) {
-	s := e.server
-	err := errors.New("entry: the service has no replicas")
-	for _, replica := range s.replicas(time.Now(), e.service) {
-		var answer *claim.Answer
-		answer, err = e.send(ctx, s.fresh, replica.Address)
-		e.judge(ctx, replica, err)
-		if !errors.Is(err, errNotSent) {
-			return answer, err
-		}
+	e.fresh = true
+	request := &pipeline.Request{MaxRetries: len(e.replicas) - 1, Budget: e.server.opts.Budget}
+	err := pipeline.Run(ctx, request, e, func() {})
+	switch {
+	case e.answer != nil:
+		return e.answer, nil
+	case !request.MayHaveRun():
+		return nil, errors.Mark(err, claim.ErrNotSent)
 	}
-	return nil, errors.Mark(err, claim.ErrNotSent)
+	return nil, err
 }
 
 // fingerprint identifies the content of the order.
-func (e *exchange) fingerprint() claim.Fingerprint {
+func (e *exchange) fingerprint(workspace string) claim.Fingerprint {
 	digest := sha256.New()
-	for _, part := range []string{e.call.workspace.Name, e.service.Name, e.method, e.target, string(e.body)} {
+	for _, part := range []string{workspace, e.service.Name, e.call.Method, e.call.Target, string(e.call.Body)} {
 		binary.Write(digest, binary.BigEndian, uint64(len(part)))
 		digest.Write([]byte(part))
 	}
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -37,6 +37,8 @@
 	request pipeline.Request
 
 	deadline time.Time
+	// prefills counts the calls that process only the prompt.
+	prefills int
 	// cache is the processed prompt at another replica, cacheAt that replica.
 	cache   *relay.CacheHandle
 	cacheAt *upstream.Replica
@@ -93,7 +95,8 @@
 	}
 	err := x.send(ctx, leg, uncached)
 	x.judge(ctx, p.Run, err)
-	if leg.Cache != nil && err != nil && !errors.Is(err, relay.ErrNotSent) && !errors.Is(err, relay.ErrOtherInstance) {
+	if leg.Cache != nil && !errors.Is(err, relay.ErrNotSent) && !errors.Is(err, relay.ErrOtherInstance) {
+		x.routing.Board.HandedOver(time.Now(), x.cacheAt, !errors.Is(err, relay.ErrRefused))
 		// The replica may have fetched the cache, which can be done once, or have failed to.
 		x.cache, x.cacheAt = nil, nil
 	}
@@ -151,6 +154,11 @@
 // prefill has another replica process the prompt. The answer has not begun then, so a failure is one of an attempt that
 // did not run; the service counts it as a repeat when the request is sent again.
 func (x *routedExchange) prefill(ctx context.Context, p place.Placement) error {
+	if x.prefills++; x.prefills > 1 && !x.budget.Take(time.Now()) {
+		// Only the first processing of a prompt is free of the budget.
+		err := errors.Mark(errors.New("entry: no retry budget to process the prompt again"), pipeline.ErrNotRun)
+		return errors.Mark(err, pipeline.ErrFinal)
+	}
 	handle, err := x.processPrompt(ctx, p)
 	if err == nil {
 		x.cache, x.cacheAt = handle, p.Prefill
--- a/entry/server.go
+++ b/entry/server.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+
+	"rhubarbpoint/relay"
 )
 
 // Server is the caller listener's handler. It is safe for concurrent use.
@@ -23,8 +25,7 @@
 	expected   expectations
 	epochs     epochTable
 	flights    flightTable
-	idempotent http.RoundTripper
-	fresh      http.RoundTripper
+	pool       *relay.Pool
 	background sync.WaitGroup
 	// leaving has the engines that are being reported.
 	leaving sync.Map
@@ -38,12 +39,7 @@
 // NewServer returns a server.
 func NewServer(opts Options) *Server {
 	opts = opts.withDefaults()
-	dial := boundedDial(opts.Dial)
-	return &Server{
-		opts: opts, metrics: newCounters(opts.Metrics),
-		idempotent: &http.Transport{DialContext: dial, IdleConnTimeout: serviceIdleTimeout, MaxIdleConnsPerHost: 8},
-		fresh:      &http.Transport{DialContext: dial, DisableKeepAlives: true},
-	}
+	return &Server{opts: opts, metrics: newCounters(opts.Metrics), pool: relay.NewPool(opts.Dial)}
 }
 
 // SetClosing makes the server ask callers to open a new connection for their next request.
--- a/entry/service.go
+++ b/entry/service.go
@@ -8,6 +8,7 @@
 
 	"rhubarbpoint/claim"
 	"rhubarbpoint/config"
+	"rhubarbpoint/relay"
 )
 
 // service serves a call to a plain service.
@@ -30,13 +31,14 @@
 		below += "?" + r.URL.RawQuery
 	}
 	e := &exchange{
-		server: s, call: c, service: service, method: r.Method, target: below, header: forwarded(r.Header, c), body: body,
+		server: s, service: service, replicas: s.replicas(time.Now(), service),
+		call: &relay.Call{ID: c.id, Method: r.Method, Target: below, Header: forwarded(r.Header, c), Body: body, After: -1},
 	}
 	var answer *claim.Answer
 	if route.Idempotent {
 		answer, err = e.runIdempotent(r.Context())
 	} else {
-		answer, err = e.runOrder(r.Context(), key)
+		answer, err = e.runOrder(r.Context(), c, key)
 	}
 	if err != nil {
 		return err
--- a/place/board.go
+++ b/place/board.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// HandedOver takes whether a processed prompt of a replica could be used by another one.
+func (b *Board) HandedOver(now time.Time, source *upstream.Replica, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(source.Incarnation()).handoffs.add(now, ok)
+}
+
 // Ended counts the end of a send. tokens are those that Read has not been called for.
 func (b *Board) Ended(replica *upstream.Replica, tokens int) {
 	b.mu.Lock()
--- a/place/engine.go
+++ b/place/engine.go
@@ -93,12 +93,13 @@
 	uncached := max(1, req.Prompt.Tokens-cached)
 	read := p.ms(float64(uncached), relative)
 	wait := p.ms(l.backlog(now, p.meanTokens), relative) + float64(r.Cold.Milliseconds())
-	first := b.trip(r) + wait + read
+	first, score := b.trip(r)+wait+read, 0.0
 	if r.Stage == upstream.Prefill {
 		first += handoffMs + b.trip(r)
+		score += handoffLoss * l.handoffs.share(now)
 	}
 	calm := comfort * req.Target.Seconds() * 1000
-	score := readWeight*read + waitWeight*first + lateWeight*math.Max(0, first-calm) + tieNoise*b.random.Float64()
+	score += readWeight*read + waitWeight*first + lateWeight*math.Max(0, first-calm) + tieNoise*b.random.Float64()
 	if req.Tried[r.Incarnation()] {
 		score += triedPenalty
 	}
--- a/place/load.go
+++ b/place/load.go
@@ -22,6 +22,7 @@
 	slots      int
 	reportedAt time.Time
 	cache      *prefixes
+	handoffs   handoffs
 }
 
 // report takes a replica's statement of its load.
--- a/relay/call.go
+++ b/relay/call.go
@@ -13,7 +13,8 @@
 	// Method and Target are the request line's, unchanged.
 	Method string
 	Target string
-	Host   string
+	// Host is the caller's; empty means the address of the replica.
+	Host string
 	// Header holds the fields to forward. Those that belong to one connection or that only the system may set are gone.
 	Header  http.Header
 	Body    []byte
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // conn is a connection to a replica. It is used by one exchange at a time.
@@ -25,7 +28,7 @@
 	}
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return c.silent()
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
@@ -39,3 +42,14 @@
 	})
 	return err == nil && (readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK)
 }
+
+// probeTime is how long a connection without a file descriptor is listened to before it is used again.
+const probeTime = time.Millisecond
+
+// silent does what clean does for a connection without a file descriptor.
+func (c *conn) silent() bool {
+	c.SetReadDeadline(time.Now().Add(probeTime))
+	defer c.SetReadDeadline(time.Time{})
+	_, err := c.reader.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -2,7 +2,8 @@
 
 import "github.com/cockroachdb/errors"
 
-// Errors of an attempt, to be tested with errors.Is. Exactly one of the first four marks each error.
+// Errors of an attempt, to be tested with errors.Is. One of the first three marks each error, or ErrEnded when the request
+// may have run.
 var (
 	// ErrNotSent means that the replica received nothing.
 	ErrNotSent = errors.New("relay: not sent")
@@ -10,7 +11,8 @@
 	ErrRefused = errors.New("relay: refused by the replica")
 	// ErrBroken means that the request may have run and no whole answer came.
 	ErrBroken = errors.New("relay: no whole answer")
-	// ErrEnded means that the request's own context ended, by its deadline or because the caller left.
+	// ErrEnded means that the request's own context ended, by its deadline or because the caller left. With ErrNotSent it
+	// ended before anything was sent.
 	ErrEnded = errors.New("relay: request ended")
 
 	// ErrOtherInstance marks a refusal because another replica has the address.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -56,7 +57,7 @@
 
 func (x *Exchange) roundTrip(dialect Dialect, call *Call, leg *Leg) error {
 	req := &http.Request{
-		Method: call.Method, URL: &url.URL{Opaque: call.Target}, Host: call.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: call.Method, URL: &url.URL{Opaque: call.Target}, Host: cmp.Or(call.Host, leg.Replica.Address), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: dialect.Leg(call, leg, time.Now()), ContentLength: int64(len(call.Body)),
 	}
 	if _, found := req.Header["User-Agent"]; !found {
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -39,7 +39,7 @@
 	return &Pool{dial: dial, idle: make(map[string][]*conn)}
 }
 
-// get returns an idle connection or opens one. fresh forbids idle ones. All errors are marked ErrNotSent or ErrEnded.
+// get returns an idle connection or opens one. fresh forbids idle ones. All errors are marked ErrNotSent.
 func (p *Pool) get(ctx context.Context, addr string, fresh bool) (*conn, error) {
 	for !fresh {
 		c := p.take(addr)
@@ -59,7 +59,7 @@
 	case err == nil:
 		return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 	case ctx.Err() != nil:
-		return nil, errors.Mark(context.Cause(ctx), ErrEnded)
+		return nil, errors.Mark(errors.Mark(context.Cause(ctx), ErrEnded), ErrNotSent)
 	case dialCtx.Err() != nil:
 		err = errors.Mark(err, ErrSilent)
 	}
