--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -44,17 +44,30 @@
 	revision := int64(-1)
 	for ctx.Err() == nil {
 		var err error
-		if revision < 0 {
-			revision, err = f.list(ctx)
-		} else {
+		watched := revision >= 0
+		if watched {
 			revision, err = f.watch(ctx, revision)
+		} else {
+			revision, err = f.list(ctx)
 		}
 		now := time.Now()
 		if err == nil {
 			if !lost.IsZero() {
 				eventRegained.Log(ctx, f.logger, slog.String("keys", f.name), slog.Duration("after", now.Sub(lost)))
 			}
-			pause, lost = minRetry, time.Time{}
+			lost = time.Time{}
+			if !watched {
+				continue
+			}
+			if revision >= 0 {
+				pause = minRetry
+				continue
+			}
+			// The history is lost: everything is read again, with a growing pause if that happens again and again.
+			if pause > minRetry {
+				sleep.For(ctx, pause)
+			}
+			pause = min(maxRetry, 2*pause)
 			continue
 		}
 		if ctx.Err() != nil {
--- a/discovery/service.go
+++ b/discovery/service.go
@@ -31,8 +31,8 @@
 	table atomic.Pointer[traffic.Table]
 
 	mu sync.Mutex
-	// away is whether the last call failed, holdUntil until when missing replicas are kept.
-	away      bool
+	// failures counts the failed calls since the last answer, holdUntil is until when missing replicas are kept.
+	failures  int
 	holdUntil time.Time
 }
 
@@ -88,21 +88,29 @@
 	}
 }
 
+// outageFailures is the number of failed calls in a row that counts as an outage of the store. One can be the end of a
+// single connection, during which entries do not lapse.
+const outageFailures = 2
+
 // noteContact keeps when the store came back.
 func (s *Service) noteContact(now time.Time, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ok && s.away {
+	if !ok {
+		s.failures++
+		return
+	}
+	if s.failures >= outageFailures {
 		s.holdUntil = now.Add(returnTime)
 	}
-	s.away = !ok
+	s.failures = 0
 }
 
 // holding says whether the store's list may lack replicas that are alive.
 func (s *Service) holding(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.away || now.Before(s.holdUntil)
+	return s.failures >= outageFailures || now.Before(s.holdUntil)
 }
 
 func (s *Service) replaceReplicas(now time.Time, entries []topo.Entry) {
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -207,6 +207,9 @@
 // judge draws the conclusions about a replica from the end of an attempt, and marks the error for the pipeline.
 func (x *routedExchange) judge(ctx context.Context, replica *upstream.Replica, err error) {
 	start := replica.Incarnation()
+	if !errors.Is(err, relay.ErrNotSent) && !errors.Is(err, relay.ErrEnded) {
+		x.routing.Board.Refused(time.Now(), replica, errors.Is(err, relay.ErrRefused))
+	}
 	switch {
 	case err == nil:
 		x.server.opts.Health.Succeeded(time.Now(), replica.ID)
--- a/place/board.go
+++ b/place/board.go
@@ -100,6 +100,13 @@
 	b.load(source.Incarnation()).handoffs.add(now, ok)
 }
 
+// Refused takes whether a replica refused a send.
+func (b *Board) Refused(now time.Time, replica *upstream.Replica, refused bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(replica.Incarnation()).refusals.add(now, !refused)
+}
+
 // Ended counts the end of a send. tokens are those that Read has not been called for.
 func (b *Board) Ended(replica *upstream.Replica, tokens int) {
 	b.mu.Lock()
--- /dev/null
+++ b/place/board_test.go
@@ -0,0 +1,228 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/place"
+	"rhubarbpoint/relay"
+	"rhubarbpoint/traffic"
+	"rhubarbpoint/upstream"
+)
+
+var (
+	model = &traffic.Service{Name: "model", Engine: &traffic.Engine{Slots: 128, KVTokens: 800_000}}
+	plain = &traffic.Service{Name: "plain"}
+)
+
+// engines returns replicas in one zone: some that only process prompts, and others.
+func engines(prefill, decode int) []*upstream.Replica {
+	var list []*upstream.Replica
+	for i := range prefill + decode {
+		r := &upstream.Replica{ID: fmt.Sprintf("i-%d", i), Service: "model", Region: "r", Zone: "z", Stage: upstream.Decode}
+		if i < prefill {
+			r.Stage = upstream.Prefill
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+func newBoard(seed uint64) *place.Board { return place.NewBoard(place.Options{Region: "r", Zone: "z", Seed: seed}) }
+
+// prompt returns a long prompt about a subject; own is unique to the request.
+func prompt(subject, own uint64) relay.Prompt {
+	return relay.Prompt{Model: "m", Tokens: 9000, MaxAnswer: 2, Parts: []relay.Part{
+		{ID: 1, Tokens: 2500}, {ID: 100 + subject, Tokens: 3800}, {ID: 1_000_000 + own, Tokens: 2700},
+	}}
+}
+
+func ask(now time.Time, p relay.Prompt) *place.Request {
+	return &place.Request{Prompt: p, Deadline: now.Add(2 * time.Second), Target: 300 * time.Millisecond}
+}
+
+// Guards against a burst of long prompts that slows down the answers that run.
+func TestLongPromptsAndAnswersUseDifferentReplicas(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now, board, list := time.Unix(0, 0), newBoard(1), engines(1, 4)
+	long, short := map[string]bool{}, map[string]bool{}
+	for i := range uint64(200) {
+		p, err := board.Choose(now, model, list, ask(now, prompt(i, i)))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		if p.Prefill != nil {
+			long[p.Prefill.ID] = true
+		} else {
+			long[p.Run.ID] = true
+		}
+		p, err = board.Choose(now, model, list, ask(now, relay.Prompt{Tokens: 200, MaxAnswer: 200}))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		short[p.Run.ID] = true
+	}
+	for id := range long {
+		g.Expect(short).NotTo(gomega.HaveKey(id))
+	}
+	g.Expect(len(long) + len(short)).To(gomega.BeNumerically(">=", 4))
+}
+
+// Guards against a fleet in which one kind of replica is missing: every request must still have a place.
+func TestEveryMixOfReplicasServes(t *testing.T) {
+	for _, c := range []struct{ prefill, decode int }{{0, 1}, {0, 3}, {3, 1}, {1, 2}} {
+		g := gomega.NewWithT(t)
+		now := time.Unix(0, 0)
+		for i := range uint64(20) {
+			for _, p := range []relay.Prompt{prompt(i, i), {Tokens: 100, MaxAnswer: 10}} {
+				placed, err := newBoard(i).Choose(now, model, engines(c.prefill, c.decode), ask(now, p))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(placed.Run.Stage).NotTo(gomega.Equal(upstream.Prefill), "a prefill replica gives no answers")
+			}
+		}
+	}
+	_, err := newBoard(1).Choose(time.Unix(0, 0), model, engines(2, 0), ask(time.Unix(0, 0), prompt(1, 1)))
+	if !errors.Is(err, place.ErrNoReplica) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Guards against instances that process the same shared prompt at different replicas.
+func TestInstancesAgreeOnAHome(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now, list := time.Unix(0, 0), engines(3, 0)
+	list = append(list, &upstream.Replica{ID: "d", Service: "model", Region: "r", Zone: "z", Stage: upstream.Decode})
+	at := map[string]int{}
+	for subject := range uint64(300) {
+		var first string
+		for instance := range uint64(9) {
+			p, err := newBoard(instance).Choose(now, model, list, ask(now, prompt(subject, instance)))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			if first == "" {
+				first = p.Prefill.ID
+			}
+			g.Expect(p.Prefill.ID).To(gomega.Equal(first))
+		}
+		at[first]++
+	}
+	for id, n := range at {
+		g.Expect(n).To(gomega.BeNumerically("~", 100, 30), id)
+	}
+}
+
+// replicaLine is a replica that processes prompts one after another.
+type replicaLine struct{ free time.Time }
+
+// play sends long prompts at a multiple of what the readers can process and returns the shares of all requests that got
+// their first token within the target, got it later, and were refused.
+func play(overload float64) (inTime, late, refused float64) {
+	const tokensPerMs, requests = 300.0, 3000
+	board, list, random := newBoard(1), engines(3, 1), rand.New(rand.NewPCG(1, 1))
+	lines := map[string]*replicaLine{}
+	// Homes have the shared parts, so a request costs its own part at a reader.
+	gap := time.Duration(2700 / tokensPerMs / 3 / overload * float64(time.Millisecond))
+	now := time.Unix(0, 0)
+	type done struct {
+		at    time.Time
+		place place.Placement
+		sent  time.Time
+		p     relay.Prompt
+	}
+	var pending []done
+	for i := range uint64(requests) {
+		now = now.Add(time.Duration(random.ExpFloat64() * float64(gap)))
+		rest := pending[:0]
+		for _, d := range pending {
+			if d.at.After(now) {
+				rest = append(rest, d)
+				continue
+			}
+			board.Read(d.place.Prefill, model, &d.p, d.place.Uncached, d.at.Sub(d.sent))
+			board.Ended(d.place.Prefill, 0)
+		}
+		pending = rest
+		p := prompt(random.Uint64N(200), i)
+		placed, err := board.Choose(now, model, list, ask(now, p))
+		if err != nil {
+			refused++
+			continue
+		}
+		line := lines[placed.Prefill.ID]
+		if line == nil {
+			line = &replicaLine{}
+			lines[placed.Prefill.ID] = line
+		}
+		start := now
+		if line.free.After(start) {
+			start = line.free
+		}
+		line.free = start.Add(time.Duration(float64(placed.Uncached) / tokensPerMs * float64(time.Millisecond)))
+		board.Sent(placed.Prefill, placed.Uncached)
+		pending = append(pending, done{line.free, placed, now, p})
+		if line.free.Sub(now) <= 300*time.Millisecond {
+			inTime++
+		} else {
+			late++
+		}
+	}
+	return inTime / requests, late / requests, refused / requests
+}
+
+// Plays bursts of long prompts up to three times what the fleet can process. Guards against a queue in which every request
+// becomes late, and against refusals while there is room.
+func TestABurstIsServedInTimeAsFarAsItGoes(t *testing.T) {
+	for _, overload := range []float64{0.5, 0.8, 1.5, 3} {
+		g := gomega.NewWithT(t)
+		inTime, late, refused := play(overload)
+		t.Logf("load %.1f: in time %.3f, late %.3f, refused %.3f", overload, inTime, late, refused)
+		if overload < 1 {
+			g.Expect(refused).To(gomega.BeNumerically("<", 0.02))
+		}
+		g.Expect(late).To(gomega.BeNumerically("<", 0.05))
+		g.Expect(inTime).To(gomega.BeNumerically(">", 0.8*min(1, 1/overload)))
+	}
+}
+
+// Guards against a plain replica that is chosen although its queue is long, a slow one of another region that is chosen
+// without need, and one that refuses and is asked again at once.
+func TestPlainRequestsGoWhereTheyStartFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now, board := time.Unix(0, 0), newBoard(1)
+	near := &upstream.Replica{ID: "near", Service: "plain", Region: "r", Zone: "z", Slots: 6}
+	far := &upstream.Replica{ID: "far", Service: "plain", Region: "q", Zone: "y", Slots: 6}
+	list := []*upstream.Replica{near, far}
+	chosen := func() string {
+		p, err := board.Choose(now, plain, list, ask(now, relay.Prompt{}))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return p.Run.ID
+	}
+	g.Expect(chosen()).To(gomega.Equal("near"))
+	board.Report(now, near, &relay.Load{Running: 6, Waiting: 20, Slots: 6})
+	g.Expect(chosen()).To(gomega.Equal("far"))
+	now = now.Add(3 * time.Second)
+	g.Expect(chosen()).To(gomega.Equal("near"), "the report is old")
+	for range 5 {
+		board.Refused(now, near, true)
+	}
+	g.Expect(chosen()).To(gomega.Equal("far"))
+}
+
+// Guards against prompts that are processed again and again at a replica whose KV caches lapse.
+func TestLapsingCachesAreAvoided(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now, board, list := time.Unix(0, 0), newBoard(1), engines(2, 1)
+	p, err := board.Choose(now, model, list, ask(now, prompt(1, 1)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	home := p.Prefill
+	for range 2 {
+		board.HandedOver(now, home, false)
+	}
+	p, err = board.Choose(now, model, list, ask(now, prompt(1, 2)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(p.Prefill).NotTo(gomega.Equal(home))
+	now = now.Add(10 * time.Second)
+	p, err = board.Choose(now, model, list, ask(now, prompt(1, 3)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(p.Prefill).To(gomega.Equal(home))
+}
--- a/place/engine.go
+++ b/place/engine.go
@@ -99,7 +99,8 @@
 		score += handoffLoss * l.handoffs.share(now)
 	}
 	calm := comfort * req.Target.Seconds() * 1000
-	score += readWeight*read + waitWeight*first + lateWeight*math.Max(0, first-calm) + tieNoise*b.random.Float64()
+	score += readWeight*read + waitWeight*first + lateWeight*math.Max(0, first-calm) + refusalLoss*l.refusals.share(now) +
+		tieNoise*b.random.Float64()
 	if req.Tried[r.Incarnation()] {
 		score += triedPenalty
 	}
@@ -122,7 +123,8 @@
 	for _, r := range answerers {
 		start := r.Incarnation()
 		l := b.load(start)
-		score := waitWeight*b.trip(r) + crowdMs*l.requests(now)/float64(max(1, service.Engine.Slots)) + tieNoise*b.random.Float64()
+		score := waitWeight*b.trip(r) + crowdMs*l.requests(now)/float64(max(1, service.Engine.Slots)) + refusalLoss*l.refusals.share(now) +
+			tieNoise*b.random.Float64()
 		if source != nil {
 			score += tripBetween(source.Region, source.Zone, r.Region, r.Zone)
 		}
--- a/place/home.go
+++ b/place/home.go
@@ -2,9 +2,10 @@
 
 import (
 	"encoding/binary"
-	"hash/fnv"
 	"math"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rhubarbpoint/relay"
 	"rhubarbpoint/upstream"
 )
@@ -41,13 +42,9 @@
 
 // rendezvous ranks a replica for a part, in proportion to its pace.
 func rendezvous(part uint64, r *upstream.Replica) float64 {
-	digest := fnv.New64a()
-	var key [8]byte
-	binary.BigEndian.PutUint64(key[:], part)
-	digest.Write(key[:])
-	digest.Write([]byte(r.ID))
-	// The multiplication spreads the last bytes over the whole hash.
-	hash := digest.Sum64() * 0x9e3779b97f4a7c15
+	key := make([]byte, 8, 8+len(r.ID))
+	binary.BigEndian.PutUint64(key, part)
+	hash := xxhash.Sum64(append(key, r.ID...))
 	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
 	weight := 1.0
 	if r.Stage != upstream.Prefill {
--- a/place/load.go
+++ b/place/load.go
@@ -22,7 +22,8 @@
 	slots      int
 	reportedAt time.Time
 	cache      *prefixes
-	handoffs   handoffs
+	handoffs   failures
+	refusals   failures
 }
 
 // report takes a replica's statement of its load.
--- a/place/plain.go
+++ b/place/plain.go
@@ -33,7 +33,7 @@
 		wait := work * math.Max(0, busy+1-slots) / slots
 		// Work is shared out evenly below the limit too, because a new request can meet one of another instance.
 		first := b.trip(r) + work + wait
-		score := first + work*busy/slots/2 + tieNoise*b.random.Float64()
+		score := first + work*busy/slots/2 + refusalLoss*l.refusals.share(now) + tieNoise*b.random.Float64()
 		if req.Tried[start] {
 			score += triedPenalty
 		}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -34,6 +34,8 @@
 	written chan error
 	// whole is set when the answer has been read to its end.
 	whole bool
+	// skipped is set when the connection carried an answer to another request.
+	skipped bool
 	// unframed answers end with their connection.
 	unframed   bool
 	promptOnly bool
@@ -85,7 +87,7 @@
 			return x.accept()
 		}
 		// A late second answer to an earlier request. The connection is not used again.
-		x.reply.Closing = true
+		x.skipped = true
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxWholeBytes)); err != nil {
 			return x.broken(errors.Wrap(err, "relay: answer to another request"))
 		}
@@ -161,7 +163,7 @@
 // Close ends the exchange. The connection is kept only when everything that was due on it has passed.
 func (x *Exchange) Close() {
 	running := x.stop()
-	if !running || !x.whole || x.unframed || x.reply.Closing || !x.bodyWritten() || x.resp.Close {
+	if !running || !x.whole || x.unframed || x.skipped || x.reply.Closing || !x.bodyWritten() || x.resp.Close {
 		x.conn.Close()
 		return
 	}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,69 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/retry"
+)
+
+// Guards against instances that each keep to their budget and break it together: in no window may all retries exceed the
+// share of all requests by more than one for each instance.
+func TestInstancesTogetherKeepTheBudget(t *testing.T) {
+	for _, instances := range []int{9, 90} {
+		g := gomega.NewWithT(t)
+		const share, window = 0.2, 10 * time.Second
+		random := rand.New(rand.NewPCG(1, uint64(instances)))
+		budgets := make([]*retry.Window, instances)
+		for i := range budgets {
+			budgets[i] = retry.NewWindow(share, window)
+		}
+		type event struct {
+			at    time.Duration
+			retry bool
+		}
+		var events []event
+		start := time.Unix(0, 0)
+		for at := time.Duration(0); at < 60*time.Second; at += 5 * time.Millisecond {
+			b, now := budgets[random.IntN(instances)], start.Add(at)
+			b.Request(now)
+			events = append(events, event{at, false})
+			for at > 20*time.Second && b.Take(now) {
+				events = append(events, event{at, true})
+			}
+		}
+		for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
+			requests, retries := 0, 0
+			for _, e := range events {
+				switch {
+				case e.retry && e.at >= from && e.at < from+window:
+					retries++
+				case !e.retry && e.at >= from-window && e.at < from+window:
+					requests++ // the window itself or the one before, whichever has most
+				}
+			}
+			g.Expect(float64(retries)).To(gomega.BeNumerically("<=", share*float64(requests)+float64(instances)), "from %v", from)
+		}
+	}
+}
+
+// Guards against a budget that stays exhausted, and one that counts requests of long ago.
+func TestAWindowForgets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := retry.NewWindow(0.1, 10*time.Second)
+	now := time.Unix(0, 0)
+	for range 100 {
+		w.Request(now)
+	}
+	taken := 0
+	for w.Take(now) {
+		taken++
+	}
+	g.Expect(taken).To(gomega.Equal(11))
+	now = now.Add(11 * time.Second)
+	g.Expect(w.Take(now)).To(gomega.BeTrue(), "the burst is back")
+	g.Expect(w.Take(now)).To(gomega.BeFalse(), "old requests allow no retries")
+}
