place: estimate queues of prompts from the waits that own requests met

Cause: replicas that only process prompts state no load, so an instance counted only its own ninth of their queue; the pace was overestimated, because parts that the estimate took for unprocessed were cached. Ruled out: late load reports (there are none from these replicas), too few refusals as such (Retry-After unchanged). Conclusion: the estimate is per replica and needs no messages between instances.

--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -120,7 +120,7 @@
 func (x *routedExchange) send(ctx context.Context, leg *relay.Leg, uncached int) error {
 	board := x.routing.Board
 	sent := time.Now()
-	board.Sent(leg.Replica, uncached)
+	before := board.Sent(leg.Replica, uncached)
 	defer func() { board.Ended(leg.Replica, uncached) }()
 	fresh := x.route.Kind == traffic.Once && x.request.Attempts > 0
 	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, leg, fresh)
@@ -132,7 +132,7 @@
 		board.Report(time.Now(), leg.Replica, load)
 	}
 	if x.service.Engine != nil {
-		board.Read(leg.Replica, x.service, &x.call.Prompt, uncached, time.Since(sent))
+		board.Read(time.Now(), leg.Replica, x.service, &x.call.Prompt, uncached, before, time.Since(sent))
 		uncached = 0
 	}
 	x.request.Accepted()
@@ -177,7 +177,7 @@
 func (x *routedExchange) processPrompt(ctx context.Context, p place.Placement) (*relay.CacheHandle, error) {
 	board := x.routing.Board
 	sent, uncached := time.Now(), p.Uncached
-	board.Sent(p.Prefill, uncached)
+	before := board.Sent(p.Prefill, uncached)
 	defer func() { board.Ended(p.Prefill, uncached) }()
 	leg := &relay.Leg{Replica: p.Prefill, Deadline: x.deadline.Add(-legMargin), PromptOnly: true, After: -1, Priority: x.route.Priority}
 	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, leg, false)
@@ -199,7 +199,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, relay.ErrBroken)
 	}
-	board.Read(p.Prefill, x.service, &x.call.Prompt, uncached, time.Since(sent))
+	board.Read(time.Now(), p.Prefill, x.service, &x.call.Prompt, uncached, before, time.Since(sent))
 	uncached = 0
 	return handle, nil
 }
--- a/place/board.go
+++ b/place/board.go
@@ -66,31 +66,38 @@
 	return b.choosePlain(now, service, replicas, req)
 }
 
-// Sent counts a send of a request with so many unprocessed prompt tokens.
-func (b *Board) Sent(replica *upstream.Replica, tokens int) {
+// Sent counts a send of a request with so many unprocessed prompt tokens. It returns those that this instance has sent
+// there before and that have not been processed yet, for Read.
+func (b *Board) Sent(replica *upstream.Replica, tokens int) (before int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.load(replica.Incarnation())
+	before = l.queue.own
 	l.inFlight++
-	l.tokens += tokens
-	if tokens > 0 {
-		b.pace(replica.Service).sent(tokens)
-	}
+	l.queue.own += tokens
+	return before
 }
 
-// Read notes that a replica has processed a prompt that was counted with so many tokens. took is the time since the
-// send, without the time on the network, or 0 if it says nothing about the replica's pace.
-func (b *Board) Read(replica *upstream.Replica, service *traffic.Service, prompt *relay.Prompt, tokens int, took time.Duration) {
+// Read notes that a replica has processed a prompt that was counted with so many tokens, behind those before it. took is
+// the time since the send.
+func (b *Board) Read(now time.Time, replica *upstream.Replica, service *traffic.Service, prompt *relay.Prompt, tokens, before int, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.load(replica.Incarnation())
-	l.tokens = max(0, l.tokens-tokens)
-	if service.Engine != nil {
-		b.cache(l, service).use(prompt.Parts)
+	l.queue.own = max(0, l.queue.own-tokens)
+	if service.Engine == nil {
+		return
+	}
+	b.cache(l, service).use(prompt.Parts)
+	if tokens < longPrompt {
+		return
 	}
-	if replica.Stage == upstream.Prefill && l.others == 0 && l.tokens == 0 {
-		b.pace(replica.Service).prompt(tokens, took)
+	p, ms := b.pace(replica.Service), took.Seconds()*1000-b.trip(replica)
+	if before == 0 {
+		// What only this request has is processed in any case; the rest may have been cached.
+		p.prompt(float64(min(tokens, prompt.Tokens-sharedTokens(prompt))), ms, relativePace(replica))
 	}
+	l.queue.observe(now, ms*p.tokensPerMs*relativePace(replica)-float64(tokens), before)
 }
 
 // HandedOver takes whether a processed prompt of a replica could be used by another one.
@@ -113,7 +120,7 @@
 	defer b.mu.Unlock()
 	l := b.load(replica.Incarnation())
 	l.inFlight--
-	l.tokens = max(0, l.tokens-tokens)
+	l.queue.own = max(0, l.queue.own-tokens)
 }
 
 // Answered takes the time of a complete request to a plain service.
--- a/place/board_test.go
+++ b/place/board_test.go
@@ -33,7 +33,9 @@
 	return list
 }
 
-func newBoard(seed uint64) *place.Board { return place.NewBoard(place.Options{Region: "r", Zone: "z", Seed: seed}) }
+func newBoard(seed uint64) *place.Board {
+	return place.NewBoard(place.Options{Region: "r", Zone: "z", Seed: seed})
+}
 
 // prompt returns a long prompt about a subject; own is unique to the request.
 func prompt(subject, own uint64) relay.Prompt {
@@ -128,6 +130,8 @@
 		place place.Placement
 		sent  time.Time
 		p     relay.Prompt
+		// before is what Sent returned.
+		before int
 	}
 	var pending []done
 	for i := range uint64(requests) {
@@ -138,7 +142,7 @@
 				rest = append(rest, d)
 				continue
 			}
-			board.Read(d.place.Prefill, model, &d.p, d.place.Uncached, d.at.Sub(d.sent))
+			board.Read(d.at, d.place.Prefill, model, &d.p, d.place.Uncached, d.before, d.at.Sub(d.sent))
 			board.Ended(d.place.Prefill, 0)
 		}
 		pending = rest
@@ -158,8 +162,8 @@
 			start = line.free
 		}
 		line.free = start.Add(time.Duration(float64(placed.Uncached) / tokensPerMs * float64(time.Millisecond)))
-		board.Sent(placed.Prefill, placed.Uncached)
-		pending = append(pending, done{line.free, placed, now, p})
+		before := board.Sent(placed.Prefill, placed.Uncached)
+		pending = append(pending, done{line.free, placed, now, p, before})
 		if line.free.Sub(now) <= 300*time.Millisecond {
 			inTime++
 		} else {
--- a/place/engine.go
+++ b/place/engine.go
@@ -81,10 +81,7 @@
 // option estimates what a long prompt costs at a replica.
 func (b *Board) option(now time.Time, service *traffic.Service, r *upstream.Replica, req *Request, shared int, isHome bool) option {
 	l, p := b.load(r.Incarnation()), b.pace(service.Name)
-	relative := 1.0
-	if r.Stage != upstream.Prefill {
-		relative = decodePace
-	}
+	relative := relativePace(r)
 	cached := b.cache(l, service).cached(req.Prompt.Parts)
 	if isHome {
 		// Requests of other instances have left the shared parts there.
@@ -92,7 +89,7 @@
 	}
 	uncached := max(1, req.Prompt.Tokens-cached)
 	read := p.ms(float64(uncached), relative)
-	wait := p.ms(l.backlog(now, p.meanTokens), relative) + float64(r.Cold.Milliseconds())
+	wait := p.ms(l.queue.tokens(now), relative) + float64(r.Cold.Milliseconds())
 	first, score := b.trip(r)+wait+read, 0.0
 	if r.Stage == upstream.Prefill {
 		first += handoffMs + b.trip(r)
--- a/place/home.go
+++ b/place/home.go
@@ -46,9 +46,5 @@
 	binary.BigEndian.PutUint64(key, part)
 	hash := xxhash.Sum64(append(key, r.ID...))
 	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
-	weight := 1.0
-	if r.Stage != upstream.Prefill {
-		weight = decodePace
-	}
-	return -weight / math.Log(uniform)
+	return -relativePace(r) / math.Log(uniform)
 }
--- a/place/load.go
+++ b/place/load.go
@@ -13,10 +13,10 @@
 
 // load is what this instance knows of one start of a replica.
 type load struct {
-	// inFlight counts the requests of this instance, tokens the prompt tokens that it has sent there and that have not
-	// been processed yet.
+	// inFlight counts the requests of this instance.
 	inFlight int
-	tokens   int
+	// queue holds the prompts that wait.
+	queue queue
 	// others are the requests of other instances, as last reported.
 	others     float64
 	slots      int
@@ -43,12 +43,6 @@
 	return math.Exp(-now.Sub(l.reportedAt).Seconds() / reportDecay.Seconds())
 }
 
-// backlog estimates the prompt tokens that are still to be processed, of mean tokens for each request of another
-// instance.
-func (l *load) backlog(now time.Time, mean float64) float64 {
-	return float64(l.tokens) + l.others*l.fade(now)*mean
-}
-
 // requests estimates the requests at the replica.
 func (l *load) requests(now time.Time) float64 {
 	return float64(l.inFlight) + l.others*l.fade(now)
--- a/place/pace.go
+++ b/place/pace.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"rhubarbpoint/upstream"
 )
 
 const (
@@ -25,17 +27,16 @@
 type pace struct {
 	tokensPerMs float64
 	work        time.Duration
-	meanTokens  float64 // unprocessed prompt tokens of a request
 }
 
-func newPace() *pace { return &pace{tokensPerMs: startPace, work: startWork, meanTokens: 1000} }
+func newPace() *pace { return &pace{tokensPerMs: startPace, work: startWork} }
 
-// prompt takes the time in which a prefill replica without a queue processed a prompt.
-func (p *pace) prompt(tokens int, took time.Duration) {
-	if tokens < paceSample || took <= 0 {
+// prompt takes the milliseconds in which a replica processed at least so many prompt tokens.
+func (p *pace) prompt(tokens, ms, relative float64) {
+	if tokens < paceSample || ms <= 0 {
 		return
 	}
-	measured := float64(tokens) / (took.Seconds() * 1000)
+	measured := tokens / ms / relative
 	if measured > p.tokensPerMs {
 		p.tokensPerMs += (measured - p.tokensPerMs) / 2
 		return
@@ -43,13 +44,19 @@
 	p.tokensPerMs += (measured - p.tokensPerMs) * paceGain
 }
 
+// relativePace returns the pace of a replica for prompts, relative to one that does nothing else.
+func relativePace(r *upstream.Replica) float64 {
+	if r.Stage == upstream.Prefill {
+		return 1
+	}
+	return decodePace
+}
+
 // answered takes the time of a whole request to a plain service.
 func (p *pace) answered(took time.Duration) {
 	p.work += time.Duration(float64(took-p.work) * workGain)
 }
 
-func (p *pace) sent(tokens int) { p.meanTokens += (float64(tokens) - p.meanTokens) * paceGain }
-
 // ms returns the milliseconds for a number of prompt tokens.
 func (p *pace) ms(tokens, relative float64) float64 {
 	return tokens / math.Max(p.tokensPerMs*relative, 1)
