Stop requests that crash replicas fleet-wide; explain failures in the log; metrics on their own address

Cause: a request that crashes each replica comes again at any instance, so no instance alone can count its crashes. The suspicions of an instance lie under one key in the store and come back to all with the watch that they hold anyway.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,7 +57,7 @@
 
 // start runs all parts in the background. The returned channel gets an error when a listener fails.
 func (i *instance) start() <-chan error {
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	var authority, parts context.Context
 	authority, i.stopAuthority = context.WithCancel(context.Background())
 	parts, i.stopParts = context.WithCancel(context.Background())
@@ -67,6 +67,10 @@
 	i.serve(failed, func() error { return i.transport.Serve(i.listeners.peer) })
 	i.serve(failed, func() error { return i.operator.Serve(i.listeners.operator) })
 	i.serve(failed, func() error { return i.front.Serve(i.listeners.caller) })
+	if i.listeners.metrics != nil {
+		i.metricsServer = newMetricsListener(i.metrics)
+		i.serve(failed, func() error { return i.metricsServer.Serve(i.listeners.metrics) })
+	}
 	if i.holder != nil {
 		i.authority.Go(func() { i.holder.Run(authority) })
 		i.authority.Go(func() { i.controller.Run(authority) })
@@ -98,6 +102,9 @@
 	i.stopParts()
 	_ = i.transport.Shutdown(ctx)
 	_ = i.operator.Shutdown(ctx)
+	if i.metricsServer != nil {
+		_ = i.metricsServer.Shutdown(ctx)
+	}
 	i.running.Wait()
 	if i.trace != nil {
 		err = errors.CombineErrors(err, i.trace.Close())
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -20,6 +20,10 @@
 			"start of the process.")
 	eventReloadFailed = event.New(1006, "settings refused", slog.LevelError,
 		"The settings file was read again and is not valid. The process goes on with the settings that it has.")
+	eventSuspicionsUnreadable = event.New(1007, "suspicions unreadable", slog.LevelWarn,
+		"Another instance's list of requests that crash replicas cannot be read and is ignored.")
+	eventSuspicionsNotShared = event.New(1008, "suspicions not shared", slog.LevelWarn,
+		"This instance's list of requests that crash replicas could not be written to the store. It is tried again.")
 	eventGateKept = event.New(1004, "gate not handed over", slog.LevelWarn,
 		"Some engines keep this process as their gate. Their orders are suspended until the instance list no longer "+
 			"shows it.")
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -62,7 +62,9 @@
 	server     *entry.Server
 	front      *entry.Front
 	operator   *operatorListener
-	trace      *entry.TraceFile
+	// metricsServer is nil without a listener of its own.
+	metricsServer *operatorListener
+	trace         *entry.TraceFile
 
 	stopping      atomic.Bool
 	stopAuthority context.CancelFunc
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -10,11 +10,12 @@
 	"rhubarbpoint/settings"
 )
 
-// listeners are the three listeners of an instance.
+// listeners are the listeners of an instance.
 type listeners struct {
 	caller   net.Listener
 	peer     net.Listener
 	operator net.Listener
+	metrics  net.Listener // nil when the operator listener alone serves metrics
 }
 
 func openListeners(ctx context.Context, s *settings.Settings) (*listeners, error) {
@@ -32,5 +33,13 @@
 		l.peer.Close()
 		return nil, errors.Wrap(err, "daemon: operator listener")
 	}
+	if s.MetricsListen != "" {
+		if l.metrics, err = net.Listen("tcp", s.MetricsListen); err != nil {
+			l.caller.Close()
+			l.peer.Close()
+			l.operator.Close()
+			return nil, errors.Wrap(err, "daemon: metrics listener")
+		}
+	}
 	return &l, nil
 }
--- a/daemon/operator_listener.go
+++ b/daemon/operator_listener.go
@@ -6,6 +6,9 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"rhubarbpoint/operator"
 )
 
 // operatorListener serves operators.
@@ -27,3 +30,10 @@
 func (o *operatorListener) Shutdown(ctx context.Context) error {
 	return errors.Wrap(o.http.Shutdown(ctx), "daemon: operator listener")
 }
+
+// newMetricsListener serves nothing but /metrics.
+func newMetricsListener(registry metrics.Registry) *operatorListener {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { operator.WriteMetrics(w, registry) })
+	return newOperatorListener(mux)
+}
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -23,6 +23,7 @@
 	"rhubarbpoint/relay"
 	"rhubarbpoint/retry"
 	"rhubarbpoint/settings"
+	"rhubarbpoint/suspect"
 	"rhubarbpoint/upstream"
 )
 
@@ -40,14 +41,17 @@
 	metrics   metrics.Registry
 	listeners *listeners
 
-	store     *platform.Client
-	discovery *discovery.Service
-	replicas  *upstream.Registry
-	board     *place.Board
-	pool      *relay.Pool
-	server    *entry.Server
-	front     *entry.Front
-	operator  *operatorListener
+	store      *platform.Client
+	discovery  *discovery.Service
+	suspicions *suspicions
+	replicas   *upstream.Registry
+	board      *place.Board
+	pool       *relay.Pool
+	server     *entry.Server
+	front      *entry.Front
+	operator   *operatorListener
+	// metricsServer is nil without a listener of its own.
+	metricsServer *operatorListener
 
 	stopping  atomic.Bool
 	stopParts context.CancelFunc
@@ -64,8 +68,11 @@
 		Region: s.Region, Zone: s.Zone, Seed: engine.EpochHash(member.NewID(s.Instance)),
 	})
 	r.store = platform.New(s.Platform, r.metrics)
+	shared := newSuspicions(r.store, s.Instance, logger)
+	shared.table = suspect.New(suspect.Options{Self: member.NewID(s.Instance), Publish: shared.changed, Logger: logger})
+	r.suspicions = shared
 	r.discovery = discovery.New(discovery.Options{
-		Store: r.store, Replicas: r.replicas, Logger: logger,
+		Store: r.store, Replicas: r.replicas, Other: shared.take, Logger: logger,
 		Format: discovery.Format{
 			TableKey: platform.KeyTraffic, ReplicaPrefix: platform.PrefixReplicas, Table: platform.DecodeTable,
 			ReplicaID: platform.ReplicaID,
@@ -76,6 +83,7 @@
 	})
 	r.server = entry.NewServer(entry.Options{
 		Document: func() *config.Document { return nil }, Region: s.Region, Health: retry.NewHealth(), Metrics: r.metrics, Logger: logger,
+		Suspects: shared.table,
 		Routing: &entry.Routing{
 			Table: r.discovery.Table, Replicas: r.replicas, Board: r.board, Dialect: platform.Dialect{}, Pool: r.pool,
 			Budgets: retry.NewBudgets(s.RetryShare, s.RetryWindow.D()),
@@ -95,16 +103,21 @@
 // run serves until the context ends and then stops gracefully.
 func (r *routed) run(ctx context.Context, reload Reload) error {
 	eventStarted.Log(ctx, r.logger, slog.String("instance", r.settings.Instance), slog.Int("pid", os.Getpid()))
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	var parts context.Context
 	parts, r.stopParts = context.WithCancel(context.Background())
 	r.running.Go(func() { r.discovery.Run(parts) })
 	r.running.Go(func() { r.prune(parts) })
+	r.running.Go(func() { r.suspicions.run(parts) })
 	r.running.Go(func() {
 		reload(parts, reloadLogger(r.logger, r.settings, func(next *settings.Settings) { r.store.SetAddress(next.Platform) }),
 			reloadFailed(r.logger))
 	})
 	r.serve(failed, func() error { return r.operator.Serve(r.listeners.operator) })
+	if r.listeners.metrics != nil {
+		r.metricsServer = newMetricsListener(r.metrics)
+		r.serve(failed, func() error { return r.metricsServer.Serve(r.listeners.metrics) })
+	}
 	r.serve(failed, func() error { return r.front.Serve(r.listeners.caller) })
 	var err error
 	select {
@@ -132,6 +145,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
 	defer cancel()
 	_ = r.operator.Shutdown(ctx)
+	if r.metricsServer != nil {
+		_ = r.metricsServer.Shutdown(ctx)
+	}
 	eventStopped.Log(context.Background(), r.logger)
 	return err
 }
--- a/discovery/service.go
+++ b/discovery/service.go
@@ -23,7 +23,10 @@
 	Store    topo.Store
 	Format   Format
 	Replicas *upstream.Registry
-	Logger   *slog.Logger
+	// Other takes entries that are neither routes nor replicas, such as those that instances share with one another. It may
+	// be nil.
+	Other  func(now time.Time, entry topo.Entry)
+	Logger *slog.Logger
 }
 
 // Service follows the store. It is safe for concurrent use.
@@ -53,13 +56,15 @@
 	running.Wait()
 }
 
-// change takes one entry; those of other kinds are ignored.
+// change takes one entry.
 func (s *Service) change(now time.Time, entry topo.Entry) {
 	switch {
 	case entry.Key == s.opts.Format.TableKey:
 		s.takeTable(entry)
 	case strings.HasPrefix(entry.Key, s.opts.Format.ReplicaPrefix):
 		s.takeReplica(now, entry)
+	case s.opts.Other != nil:
+		s.opts.Other(now, entry)
 	}
 }
 
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -1,7 +1,11 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
+
+	"rhubarbpoint/traffic"
 )
 
 // counters are the server's metrics.
@@ -9,14 +13,32 @@
 	requests, failed, attempts, retries, resumed, crashes, callerGone metrics.Counter
 	// firstToken is in milliseconds.
 	firstToken metrics.Histogram
+	registry   metrics.Registry
 }
 
 func newCounters(r metrics.Registry) *counters {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("entry."+name, r) }
 	return &counters{
+		registry: r,
 		requests: counter("requests"), failed: counter("failed"), attempts: counter("attempts"),
 		retries: counter("retries"), resumed: counter("resumed"), crashes: counter("crashes"),
 		callerGone: counter("caller_gone"),
-		firstToken: metrics.GetOrRegisterHistogram("entry.first_token_ms", r, metrics.NewExpDecaySample(1028, 0.015)),
+		firstToken: newHistogram(r, "entry.first_token_ms"),
+	}
+}
+
+func newHistogram(r metrics.Registry, name string) metrics.Histogram {
+	return r.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(1028, 0.015))
+	}).(metrics.Histogram)
+}
+
+// outcome counts the end of a routed request, by its kind and by the code of its failure, and how long it took.
+func (c *counters) outcome(kind traffic.Kind, failed *Error, took time.Duration) {
+	code := "served"
+	if failed != nil {
+		code = failed.Code
 	}
+	metrics.GetOrRegisterCounter("entry.routed."+kind.String()+"."+code, c.registry).Inc(1)
+	newHistogram(c.registry, "entry.routed."+kind.String()+".took_ms").Update(took.Milliseconds())
 }
--- a/entry/events.go
+++ b/entry/events.go
@@ -8,7 +8,7 @@
 
 var (
 	eventAttemptFailed = event.New(300, "attempt failed", slog.LevelWarn,
-		"An attempt at a model request failed. The request goes on elsewhere if its deadline and the retry budget allow.")
+		"An attempt at a request failed. The request goes on elsewhere if its kind, its deadline and the retry budget allow.")
 	eventRequestFailed = event.New(301, "request failed", slog.LevelWarn,
 		"A caller got an error with a status of 500 or more. The attribute code is the code of the error.")
 	eventPrefillFailed = event.New(302, "prefill elsewhere failed", slog.LevelWarn,
--- /dev/null
+++ b/entry/placed.go
@@ -0,0 +1,25 @@
+package entry
+
+import (
+	"log/slog"
+
+	"rhubarbpoint/place"
+)
+
+// placed is the last placement of a request, for the log.
+type placed place.Placement
+
+// attrs returns what decided the placement.
+func (p *placed) attrs() []slog.Attr {
+	if p.Run == nil {
+		return nil
+	}
+	attrs := []slog.Attr{
+		logUpstream(p.Run.ID), logMillis("estimate_ms", p.First), logMillis("wait_ms", p.Wait),
+		logMillis("report_age_ms", p.ReportAge), slog.Int("uncached", p.Uncached),
+	}
+	if p.Prefill != nil {
+		attrs = append(attrs, slog.String("prefill", p.Prefill.ID))
+	}
+	return attrs
+}
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -12,6 +12,7 @@
 	"rhubarbpoint/place"
 	"rhubarbpoint/relay"
 	"rhubarbpoint/retry"
+	"rhubarbpoint/suspect"
 	"rhubarbpoint/traffic"
 	"rhubarbpoint/upstream"
 )
@@ -36,7 +37,8 @@
 	budget  *retry.Window
 	request pipeline.Request
 
-	deadline time.Time
+	fingerprint suspect.Fingerprint
+	deadline    time.Time
 	// prefills counts the calls that process only the prompt.
 	prefills int
 	// cache is the processed prompt at another replica, cacheAt that replica.
@@ -51,7 +53,7 @@
 	last  int64
 	// first and ended are when the first byte was written and when the request was over.
 	first  time.Time
-	placed place.Placement
+	placed placed
 }
 
 // wholeAnswer is a replica's answer that was read to its end.
@@ -64,13 +66,17 @@
 // Place implements pipeline.Exchange.
 func (x *routedExchange) Place(context.Context) (place.Placement, error) {
 	now := time.Now()
-	p, err := x.routing.Board.Choose(now, x.service, x.routing.Replicas.Of(x.service.Name), &place.Request{
+	replicas, err := x.suspected(now, x.routing.Replicas.Of(x.service.Name))
+	if err != nil {
+		return place.Placement{}, err
+	}
+	p, err := x.routing.Board.Choose(now, x.service, replicas, &place.Request{
 		Cached: x.cacheAt,
 		Prompt: x.call.Prompt, Deadline: x.deadline, Target: x.route.TargetLatency, Tried: x.tried, Refused: x.refused, Continues: x.begun,
 	})
 	switch {
 	case err == nil:
-		x.placed = p
+		x.placed = placed(p)
 		return p, nil
 	case errors.Is(err, place.ErrNoReplica):
 		return p, errors.Mark(err, pipeline.ErrNoUpstream)
@@ -93,7 +99,7 @@
 	if x.cache != nil {
 		leg.Cache, uncached = x.cache, 0
 	}
-	err := x.send(ctx, leg, uncached)
+	err := x.sendWatched(ctx, leg, uncached)
 	x.judge(ctx, p.Run, err)
 	if leg.Cache != nil && !errors.Is(err, relay.ErrNotSent) && !errors.Is(err, relay.ErrOtherInstance) {
 		x.routing.Board.HandedOver(time.Now(), x.cacheAt, !errors.Is(err, relay.ErrRefused))
@@ -207,6 +213,9 @@
 // judge draws the conclusions about a replica from the end of an attempt, and marks the error for the pipeline.
 func (x *routedExchange) judge(ctx context.Context, replica *upstream.Replica, err error) {
 	start := replica.Incarnation()
+	if err != nil {
+		x.logAttempt(ctx, replica, err)
+	}
 	if !errors.Is(err, relay.ErrNotSent) && !errors.Is(err, relay.ErrEnded) {
 		x.routing.Board.Refused(time.Now(), replica, errors.Is(err, relay.ErrRefused))
 	}
--- a/entry/routed_finish.go
+++ b/entry/routed_finish.go
@@ -11,6 +11,8 @@
 
 	"rhubarbpoint/pipeline"
 	"rhubarbpoint/place"
+	"rhubarbpoint/suspect"
+	"rhubarbpoint/upstream"
 )
 
 // finish delivers what there is and returns the error to answer with, or nil when an answer has been written.
@@ -42,6 +44,8 @@
 	}
 	var busy *place.BusyError
 	switch {
+	case errors.Is(err, suspect.ErrRefused), errors.Is(err, suspect.ErrWait):
+		return failure(sent, unavailable(sent), codeSuspect, "the request has crashed several replicas").after(suspectPause)
 	case errors.As(err, &busy):
 		return failure(sent, unavailable(sent), codeTooLate, "the replicas have too much work before this request").
 			after(refusalPause + time.Duration(rand.Float64()*float64(refusalPause+busy.Over)))
@@ -76,29 +80,46 @@
 
 // log writes the one line that explains the request's outcome.
 func (x *routedExchange) log(ctx context.Context, err error, failed *Error) {
-	logger := x.server.opts.Logger
-	e := eventRequestServed
+	e, limit := eventRequestServed, x.server.servedLines
+	if failed != nil {
+		e, limit = eventRequestNotServed, x.server.failedLines
+	}
+	x.server.metrics.outcome(x.route.Kind, failed, time.Since(x.call.Arrived))
+	omitted, allowed := limit.take()
+	if !allowed {
+		return
+	}
 	attrs := []slog.Attr{
 		slog.String("request", x.call.ID), slog.String("route", x.route.Name), slog.Int64("version", x.table.Version),
-		slog.String("service", x.service.Name), slog.Int("attempts", x.request.Attempts),
-		slog.Duration("took", time.Since(x.call.Arrived)),
-	}
-	if x.placed.Run != nil {
-		attrs = append(attrs, slog.String("upstream", x.placed.Run.ID), slog.Duration("estimate", x.placed.First),
-			slog.Duration("report_age", x.placed.ReportAge))
+		slog.String("service", x.service.Name), slog.Int("attempts", x.request.Attempts), logMillis("took_ms", time.Since(x.call.Arrived)),
+		omitted,
 	}
-	if x.placed.Prefill != nil {
-		attrs = append(attrs, slog.String("prefill", x.placed.Prefill.ID))
+	if !x.first.IsZero() {
+		attrs = append(attrs, logMillis("first_ms", x.first.Sub(x.call.Arrived)))
 	}
+	attrs = append(attrs, x.placed.attrs()...)
 	if failed != nil {
-		e = eventRequestNotServed
 		attrs = append(attrs, slog.String("code", failed.Code), slog.String("run", string(failed.Run)),
-			slog.Int("status", failed.Status), slog.Duration("left", time.Until(x.call.Deadline)))
+			slog.Int("status", failed.Status), logMillis("left_ms", time.Until(x.call.Deadline)),
+			logMillis("retry_after_ms", failed.RetryAfter))
 	}
 	if err != nil {
 		attrs = append(attrs, slog.String("error", err.Error()))
 	}
-	e.Log(ctx, logger, attrs...)
+	e.Log(ctx, x.server.opts.Logger, attrs...)
 }
 
+// logAttempt explains an attempt that failed.
+func (x *routedExchange) logAttempt(ctx context.Context, replica *upstream.Replica, err error) {
+	omitted, allowed := x.server.failedLines.take()
+	if !allowed {
+		return
+	}
+	eventAttemptFailed.Log(ctx, x.server.opts.Logger, slog.String("request", x.call.ID), slog.String("upstream", replica.ID),
+		slog.String("address", replica.Address), slog.Int("attempt", x.request.Attempts+1), slog.String("error", err.Error()),
+		logMillis("since_arrival_ms", time.Since(x.call.Arrived)), omitted)
+}
+
+func logMillis(name string, d time.Duration) slog.Attr { return slog.Int64(name, d.Milliseconds()) }
+
 func logUpstream(id string) slog.Attr { return slog.String("upstream", id) }
--- a/entry/server.go
+++ b/entry/server.go
@@ -32,6 +32,8 @@
 	closing atomic.Bool
 	// refusing is set when routed requests can no longer end before a planned stop does.
 	refusing atomic.Bool
+	// servedLines and failedLines bound the log lines of routed requests.
+	servedLines, failedLines *lineLimit
 	// latest is the latest deadline of any request, in Unix milliseconds.
 	latest atomic.Int64
 }
@@ -39,7 +41,9 @@
 // NewServer returns a server.
 func NewServer(opts Options) *Server {
 	opts = opts.withDefaults()
-	return &Server{opts: opts, metrics: newCounters(opts.Metrics), pool: relay.NewPool(opts.Dial)}
+	return &Server{opts: opts, metrics: newCounters(opts.Metrics), pool: relay.NewPool(opts.Dial),
+		servedLines: newLineLimit(servedLines), failedLines: newLineLimit(failedLines),
+	}
 }
 
 // SetClosing makes the server ask callers to open a new connection for their next request.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -108,6 +109,15 @@
 	}
 }
 
+// Refuses says whether nothing listens at an address. A connection that it gets is kept for later requests.
+func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	c, err := p.get(ctx, addr, true)
+	if err == nil {
+		p.put(c, 0)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Prune closes connections that have been idle for too long.
 func (p *Pool) Prune(now time.Time) {
 	var old []*conn
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,8 @@
 	PeerListen string `json:"peer_listen" required:"true" format:"addrport"`
 	// OperatorListen is the IP:port for operators.
 	OperatorListen string `json:"operator_listen" required:"true" format:"addrport"`
+	// MetricsListen is an IP:port that serves nothing but /metrics; without it the operator listener alone does.
+	MetricsListen string `json:"metrics_listen,omitempty" format:"addrport"`
 	// Platform is the IP:port of the platform's service. Without it the instance runs from ConfigFile alone, which must
 	// then be set.
 	Platform string `json:"platform,omitempty" format:"addrport"`
@@ -88,6 +90,7 @@
 	taken := make(map[string]string)
 	for _, l := range []struct{ name, value string }{
 		{"caller_listen", s.CallerListen}, {"peer_listen", s.PeerListen}, {"operator_listen", s.OperatorListen},
+		{"metrics_listen", s.MetricsListen},
 	} {
 		if other, used := taken[l.value]; used && l.value != "" {
 			faults = append(faults, strict.Fault{
--- a/suspect/fingerprint.go
+++ b/suspect/fingerprint.go
@@ -13,19 +13,22 @@
 
 // Of returns the fingerprint of a request.
 func Of(caller, model string, messages []engine.Message) Fingerprint {
+	texts := []string{caller, model}
+	for _, m := range messages {
+		texts = append(texts, m.Role, m.Content)
+	}
+	return OfContent(texts...)
+}
+
+// OfContent returns the fingerprint of a request that is described by a list of texts.
+func OfContent(texts ...string) Fingerprint {
 	digest := sha256.New()
-	add := func(text string) {
+	for _, text := range texts {
 		var size [8]byte
 		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
 		digest.Write(size[:])
 		digest.Write([]byte(text))
 	}
-	add(caller)
-	add(model)
-	for _, m := range messages {
-		add(m.Role)
-		add(m.Content)
-	}
 	var f Fingerprint
 	copy(f[:], digest.Sum(nil))
 	return f
