--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -367,3 +367,31 @@
 		s.Expect(<-stopped).To(gomega.Succeed())
 	})
 }
+
+// Guards against a request that crashes every replica that runs it and is sent on until none is left.
+func TestARequestThatCrashesReplicasIsStopped(t *testing.T) {
+	inSite(t, func(s *site) {
+		crashes := 0
+		for range 6 {
+			var addr string
+			addr = s.replica("plain", upstream.Whole, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/look/poison" {
+					io.WriteString(w, "good")
+					return
+				}
+				crashes++
+				s.net.Kill(addr)
+				cut(w)
+			})
+		}
+		var last *got
+		for range 6 {
+			last = s.call("/look/poison")
+			time.Sleep(5 * time.Second)
+		}
+		s.Expect(crashes).To(gomega.BeNumerically("<=", 3))
+		s.Expect(last.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		s.Expect(last.body).To(gomega.ContainSubstring(`"run":"not_run"`))
+		s.Expect(s.call("/look/1").body).To(gomega.Equal("good"))
+	})
+}
--- a/internal/pipenet/network.go
+++ b/internal/pipenet/network.go
@@ -6,12 +6,11 @@
 	"context"
 	"net"
 	"sync"
-
-	"github.com/cockroachdb/errors"
+	"syscall"
 )
 
 // errRefused is what a dial to an address without listener returns.
-var errRefused = errors.New("pipenet: connection refused")
+var errRefused = syscall.ECONNREFUSED
 
 // Network connects dialers with listeners by address. It is safe for concurrent use.
 type Network struct {
