entry: refuse requests late in a planned stop instead of closing their connections

Cause: net/http closes connections without an answer once it shuts down, also those with a request already read. Found by: TestAPlannedStopRefusesLateRequests, which got an unexpected EOF.

--- a/entry/front.go
+++ b/entry/front.go
@@ -67,8 +67,11 @@
 	f.ready.Store(false)
 	f.server.SetClosing()
 	time.Sleep(delay)
-	f.server.refusing.Store(true)
-	err := f.shutdown(min(limit, f.server.grace(time.Now())+writeTimeout))
+	limit = min(limit, f.server.grace(time.Now())+writeTimeout)
+	if f.server.opts.Routing != nil {
+		limit -= f.refuse(limit)
+	}
+	err := f.shutdown(limit)
 	if err != nil {
 		eventDrainOverdue.Log(ctx, logger)
 		f.end(errStopping)
@@ -81,6 +84,21 @@
 	return err
 }
 
+// idlePoll is how often a stopping instance looks whether requests are in flight.
+const idlePoll = 20 * time.Millisecond
+
+// refuse answers new requests with a refusal until none is in flight any more, for at most limit, and returns how long that
+// took. The server would close their connections without an answer once it shuts down, and callers could not know
+// whether they were read.
+func (f *Front) refuse(limit time.Duration) time.Duration {
+	start := time.Now()
+	f.server.refusing.Store(true)
+	for f.server.inFlight.Load() > 0 && time.Since(start) < limit {
+		time.Sleep(idlePoll)
+	}
+	return time.Since(start)
+}
+
 func (f *Front) shutdown(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -59,6 +59,8 @@
 	if s.refusing.Load() {
 		return notRun(http.StatusServiceUnavailable, codeStopping, "the instance stops").after(refusalPause)
 	}
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
 	x := &routedExchange{
 		server: s, routing: routing, table: table, route: route, call: call, w: w, control: http.NewResponseController(w),
 		last: call.After, deadline: call.Deadline,
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -34,7 +35,7 @@
 	front    *entry.Front
 	served   chan error
 	client   *http.Client
-	next     int
+	next     atomic.Int64
 }
 
 const (
@@ -84,8 +85,8 @@
 
 // replica starts a replica of a service. The handler gets requests with the answer's usual header set.
 func (s *site) replica(service string, stage upstream.Stage, handle http.HandlerFunc) string {
-	s.next++
-	id, addr := fmt.Sprintf("i-%d", s.next), fmt.Sprintf("10.9.0.%d:80", s.next)
+	n := s.next.Add(1)
+	id, addr := fmt.Sprintf("i-%d", n), fmt.Sprintf("10.9.0.%d:80", n)
 	go (&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
@@ -111,8 +112,7 @@
 	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+entryAddr+path, strings.NewReader("body"))
 	s.Expect(err).NotTo(gomega.HaveOccurred())
 	req.Host = "h"
-	s.next++
-	req.Header.Set("Request-Id", strconv.Itoa(s.next))
+	req.Header.Set("Request-Id", strconv.FormatInt(s.next.Add(1), 10))
 	req.Header.Set("Deadline-Ms", "20000")
 	for i := 0; i < len(fields); i += 2 {
 		req.Header.Set(fields[i], fields[i+1])
@@ -362,6 +362,14 @@
 		time.Sleep(time.Second)
 		g := s.call("/chat/2", "Deadline-Ms", "50")
 		s.Expect(g.status).NotTo(gomega.Equal(http.StatusServiceUnavailable), "the balancer still sends callers")
+		conn, err := s.net.Dial(context.Background(), "tcp", entryAddr)
+		s.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(1500 * time.Millisecond)
+		io.WriteString(conn, "GET /chat/3 HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nDeadline-Ms: 9000\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		s.Expect(err).NotTo(gomega.HaveOccurred())
+		s.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable), "too late to end before the stop")
+		conn.Close()
 		g = <-running
 		s.Expect(g.err).NotTo(gomega.HaveOccurred(), "a request in flight ends")
 		s.Expect(<-stopped).To(gomega.Succeed())
--- a/entry/server.go
+++ b/entry/server.go
@@ -32,6 +32,8 @@
 	closing atomic.Bool
 	// refusing is set when routed requests can no longer end before a planned stop does.
 	refusing atomic.Bool
+	// inFlight counts the routed requests that were taken.
+	inFlight atomic.Int64
 	// servedLines and failedLines bound the log lines of routed requests.
 	servedLines, failedLines *lineLimit
 	// latest is the latest deadline of any request, in Unix milliseconds.
