--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,13 +38,15 @@
 	Entries  []*Node
 }
 
-// Start starts all processes and waits until every entry instance is ready. The caller must call Stop, also after an
+// Start starts all processes and waits until every entry instance is ready, see also Options.RoutesFromPlatform. The caller must call Stop, also after an
 // error, unless the fleet is nil.
 func Start(ctx context.Context, opts Options) (*Fleet, error) {
 	f := &Fleet{opts: opts, ports: newPorts(), http: &http.Client{Timeout: 2 * time.Second}}
-	for _, step := range []func(context.Context) error{
-		f.startPlatform, f.startUpstreams, f.startEntries, f.applyDocument, f.waitReady,
-	} {
+	steps := []func(context.Context) error{f.startPlatform, f.startUpstreams, f.startEntries, f.applyDocument, f.waitReady}
+	if opts.RoutesFromPlatform {
+		steps = []func(context.Context) error{f.startPlatform, f.startEntries}
+	}
+	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return f, err
 		}
@@ -167,6 +169,10 @@
 		CallerListen: n.Address, PeerListen: n.Peer, OperatorListen: n.Operator,
 		Platform: f.Platform.Address, DrainDelay: config.Duration(f.opts.DrainDelay),
 	}
+	if f.opts.RoutesFromPlatform {
+		s.Routes = settings.RoutesFromPlatform
+		s.Zones = []settings.Zone{{Name: ZoneName(n.Region), Region: n.Region}}
+	}
 	for _, other := range f.Entries {
 		if other != n {
 			s.Peers = append(s.Peers, other.Peer)
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -19,6 +19,9 @@
 	DrainDelay time.Duration
 	// EngineArgs are further arguments of each engine stand-in.
 	EngineArgs []string
+	// RoutesFromPlatform makes the entry instances take routes and replicas from the platform's store, where the caller
+	// puts them. No engines and services are started then, and Start does not wait until the instances are ready.
+	RoutesFromPlatform bool
 	// AutomaticRoles lets the system change the roles of engines.
 	AutomaticRoles bool
 }
