place: the wait met lately at any replica counts for one of which nothing was seen

Cause: with many instances each sees one replica seldom, so its estimate fell back to an empty queue.

--- a/place/board.go
+++ b/place/board.go
@@ -97,7 +97,9 @@
 		// What only this request has is processed in any case; the rest may have been cached.
 		p.prompt(float64(min(tokens, prompt.Tokens-sharedTokens(prompt))), ms, relativePace(replica))
 	}
-	l.queue.observe(now, ms*p.tokensPerMs*relativePace(replica)-float64(tokens), before)
+	relative := relativePace(replica)
+	p.wait(now, ms-p.ms(float64(tokens), relative))
+	l.queue.observe(now, ms*p.tokensPerMs*relative-float64(tokens), before)
 }
 
 // HandedOver takes whether a processed prompt of a replica could be used by another one.
--- a/place/engine.go
+++ b/place/engine.go
@@ -89,7 +89,7 @@
 	}
 	uncached := max(1, req.Prompt.Tokens-cached)
 	read := p.ms(float64(uncached), relative)
-	wait := p.ms(l.queue.tokens(now), relative) + float64(r.Cold.Milliseconds())
+	wait := p.ms(l.queue.tokens(now, p.usualWait(now)*p.tokensPerMs*relative), relative) + float64(r.Cold.Milliseconds())
 	first, score := b.trip(r)+wait+read, 0.0
 	if r.Stage == upstream.Prefill {
 		first += handoffMs + b.trip(r)
--- a/place/pace.go
+++ b/place/pace.go
@@ -27,6 +27,9 @@
 type pace struct {
 	tokensPerMs float64
 	work        time.Duration
+	// waited is the mean of the milliseconds that prompts waited lately at any replica, at the time of the last one.
+	waited   float64
+	waitedAt time.Time
 }
 
 func newPace() *pace { return &pace{tokensPerMs: startPace, work: startWork} }
@@ -52,6 +55,25 @@
 	return decodePace
 }
 
+// wait takes the milliseconds that a prompt waited.
+func (p *pace) wait(now time.Time, ms float64) {
+	gain := 1.0
+	if !p.waitedAt.IsZero() {
+		gain = math.Max(usualGain, 1-math.Exp(-now.Sub(p.waitedAt).Seconds()/delayDecay.Seconds()))
+	}
+	p.waited += (math.Max(0, ms) - p.waited) * gain
+	p.waitedAt = now
+}
+
+// usualWait returns the milliseconds that a prompt waits at a replica of which nothing else is known. It falls while
+// nothing is observed, so that requests are tried again after all were refused.
+func (p *pace) usualWait(now time.Time) float64 {
+	if p.waitedAt.IsZero() {
+		return 0
+	}
+	return p.waited * math.Exp(-now.Sub(p.waitedAt).Seconds()/delayDecay.Seconds())
+}
+
 // answered takes the time of a whole request to a plain service.
 func (p *pace) answered(took time.Duration) {
 	p.work += time.Duration(float64(took-p.work) * workGain)
--- a/place/queue.go
+++ b/place/queue.go
@@ -8,6 +8,8 @@
 const (
 	// delayDecay is the time in which an observed wait loses most of its weight.
 	delayDecay = 400 * time.Millisecond
+	// usualGain is the least weight of one observation in the mean over the replicas of a service.
+	usualGain = 0.1
 	// crowdGain is the weight of one observation in the estimate of how much others send.
 	crowdGain = 0.05
 	// maxCrowd bounds that estimate, at a few hundred instances with equal shares.
@@ -44,11 +46,12 @@
 	return math.Min(maxCrowd, math.Max(1, q.waited/q.sent))
 }
 
-// tokens returns the estimated length of the queue.
-func (q *queue) tokens(now time.Time) float64 {
-	known := float64(q.own) * q.crowd()
-	if q.at.IsZero() {
-		return known
+// tokens returns the estimated length of the queue. usual is what requests met lately at replicas of the same kind: it
+// counts for a replica of which nothing was seen lately, as one instance of many sees each replica seldom.
+func (q *queue) tokens(now time.Time, usual float64) float64 {
+	weight := 0.0
+	if !q.at.IsZero() {
+		weight = math.Exp(-now.Sub(q.at).Seconds() / delayDecay.Seconds())
 	}
-	return math.Max(known, q.last*math.Exp(-now.Sub(q.at).Seconds()/delayDecay.Seconds()))
+	return math.Max(float64(q.own)*q.crowd(), weight*q.last+(1-weight)*usual)
 }
