Instances tell each other of leaving replicas and newer routes

Cause: an instance that the store turns away learned of a leaving replica only from refusals, and one that started during an outage of the store served nothing although its peers knew the routes. The existing membership carries both; what a peer tells never replaces what the store lists.

--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -44,6 +44,7 @@
 	store      *platform.Client
 	discovery  *discovery.Service
 	suspicions *suspicions
+	peers      *routedPeers
 	replicas   *upstream.Registry
 	board      *place.Board
 	pool       *relay.Pool
@@ -72,7 +73,7 @@
 	shared.table = suspect.New(suspect.Options{Self: member.NewID(s.Instance), Publish: shared.changed, Logger: logger})
 	r.suspicions = shared
 	r.discovery = discovery.New(discovery.Options{
-		Store: r.store, Replicas: r.replicas, Other: shared.take, Logger: logger,
+		Store: r.store, Replicas: r.replicas, Other: shared.take, Leaving: func(u upstream.Replica) { r.peers.leaving(u) }, Logger: logger,
 		Format: discovery.Format{
 			TableKey: platform.KeyTraffic, ReplicaPrefix: platform.PrefixReplicas, Table: platform.DecodeTable,
 			ReplicaID: platform.ReplicaID,
@@ -81,6 +82,7 @@
 			},
 		},
 	})
+	r.peers = newRoutedPeers(s, r.discovery, r.replicas, r.metrics, logger)
 	r.server = entry.NewServer(entry.Options{
 		Document: func() *config.Document { return nil }, Region: s.Region, Health: retry.NewHealth(), Metrics: r.metrics, Logger: logger,
 		Suspects: shared.table,
@@ -93,6 +95,7 @@
 	state := operator.NewStateRegistry()
 	state.Register("entry", func() any { return r.server.State(time.Now()) })
 	state.Register("replicas", func() any { return r.replicas.All() })
+	state.Register("member", func() any { return r.peers.member.Dump() })
 	state.Register("routes", func() any { return r.discovery.Table() })
 	r.operator = newOperatorListener(operator.NewServer(operator.Options{
 		Ready: r.ready, Metrics: r.metrics, State: state,
@@ -103,11 +106,13 @@
 // run serves until the context ends and then stops gracefully.
 func (r *routed) run(ctx context.Context, reload Reload) error {
 	eventStarted.Log(ctx, r.logger, slog.String("instance", r.settings.Instance), slog.Int("pid", os.Getpid()))
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	var parts context.Context
 	parts, r.stopParts = context.WithCancel(context.Background())
 	r.running.Go(func() { r.discovery.Run(parts) })
 	r.running.Go(func() { r.prune(parts) })
+	r.running.Go(func() { _ = r.peers.member.Run(parts) }) // ends with its context
+	r.serve(failed, func() error { return r.peers.transport.Serve(r.listeners.peer) })
 	r.running.Go(func() { r.suspicions.run(parts) })
 	r.running.Go(func() {
 		reload(parts, reloadLogger(r.logger, r.settings, func(next *settings.Settings) { r.store.SetAddress(next.Platform) }),
@@ -139,11 +144,17 @@
 func (r *routed) stop() error {
 	r.stopping.Store(true)
 	eventStopping.Log(context.Background(), r.logger)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+		defer cancel()
+		r.peers.member.Leave(ctx)
+	}()
 	delay := min(r.settings.DrainDelay.D(), r.settings.StopWithin.D()/2)
 	err := r.front.Drain(delay, r.settings.StopWithin.D()-delay-stopMargin)
 	r.stopParts()
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
 	defer cancel()
+	_ = r.peers.transport.Shutdown(ctx)
 	_ = r.operator.Shutdown(ctx)
 	if r.metricsServer != nil {
 		_ = r.metricsServer.Shutdown(ctx)
--- a/discovery/service.go
+++ b/discovery/service.go
@@ -23,6 +23,8 @@
 	Store    topo.Store
 	Format   Format
 	Replicas *upstream.Registry
+	// Leaving is told of a replica that the store lists as draining. It may be nil.
+	Leaving func(upstream.Replica)
 	// Other takes entries that are neither routes nor replicas, such as those that instances share with one another. It may
 	// be nil.
 	Other  func(now time.Time, entry topo.Entry)
@@ -38,10 +40,17 @@
 	// failures counts the failed calls since the last answer, holdUntil is until when missing replicas are kept.
 	failures  int
 	holdUntil time.Time
+	// listed is set once the store has been read. raw holds its values; encoded is raw as of encodedFor changes.
+	listed              bool
+	raw                 snapshot
+	encoded             []byte
+	changes, encodedFor int
 }
 
 // New returns a service without routes.
-func New(opts Options) *Service { return &Service{opts: opts} }
+func New(opts Options) *Service {
+	return &Service{opts: opts, raw: snapshot{Replicas: make(map[string][]byte)}}
+}
 
 // Table returns the routes in force, or nil before the first ones.
 func (s *Service) Table() *traffic.Table { return s.table.Load() }
@@ -70,6 +79,10 @@
 
 // replace takes all entries. Replicas that are not among them are gone.
 func (s *Service) replace(now time.Time, entries []topo.Entry) {
+	s.mu.Lock()
+	s.listed = true
+	clear(s.raw.Replicas)
+	s.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		listed[s.opts.Format.ReplicaID(entry.Key)] = true
@@ -99,6 +112,7 @@
 			return
 		}
 		if s.table.CompareAndSwap(current, next) {
+			s.keep(entry)
 			eventTableInForce.Log(ctx, s.opts.Logger, slog.Int64("version", next.Version),
 				slog.Int("routes", len(next.Routes)), slog.Int64("revision", entry.Revision))
 			return
@@ -133,6 +147,7 @@
 
 func (s *Service) takeReplica(now time.Time, entry topo.Entry) {
 	id := s.opts.Format.ReplicaID(entry.Key)
+	s.keep(entry)
 	if entry.Value == nil {
 		s.removeReplica(now, id)
 		return
@@ -144,6 +159,9 @@
 		s.removeReplica(now, id)
 		return
 	}
+	if replica.Draining && s.opts.Leaving != nil {
+		s.opts.Leaving(replica)
+	}
 	if s.opts.Replicas.Put(replica) {
 		eventReplicaChanged.Log(context.Background(), s.opts.Logger, slog.String("upstream", id),
 			slog.String("service", replica.Service), slog.String("stage", replica.Stage.String()),
--- a/discovery/service_test.go
+++ b/discovery/service_test.go
@@ -212,3 +212,37 @@
 		w.Expect(lists).To(gomega.BeNumerically("<=", 25), "a read each second once the pause has grown")
 	})
 }
+
+// Guards against an instance that starts during an outage of the store and serves nothing although a peer knows the routes
+// and replicas, and against what a peer knew that outlives the store's own list.
+func TestAPeerHelpsWithoutTheStore(t *testing.T) {
+	var version int64
+	var data []byte
+	inWorld(t, func(w *world) {
+		w.put("routes", `{"Version":3}`)
+		w.put("r/a", "ready")
+		w.put("r/b", "ready")
+		w.put("r/c", "garbage")
+		time.Sleep(10 * time.Millisecond)
+		w.remove("r/b")
+		time.Sleep(10 * time.Millisecond)
+		version, data = w.service.Encoded()
+		w.Expect(version).To(gomega.BeEquivalentTo(3))
+	})
+	inWorld(t, func(w *world) {
+		w.store.set(func() { w.store.away = true })
+		time.Sleep(5 * time.Second)
+		w.Expect(w.service.Offer(time.Now(), []byte("odd"))).NotTo(gomega.Succeed())
+		w.Expect(w.service.Offer(time.Now(), data)).To(gomega.Succeed())
+		w.Expect(w.version()).To(gomega.BeEquivalentTo(3))
+		w.Expect(w.usable()).To(gomega.Equal("a"))
+		w.put("routes", `{"Version":2}`)
+		w.put("r/d", "ready")
+		w.store.set(func() { w.store.away = false })
+		time.Sleep(5 * time.Second)
+		w.Expect(w.version()).To(gomega.BeEquivalentTo(3), "routes never go back")
+		w.Expect(w.usable()).To(gomega.Equal("d"), "the store lists all replicas")
+		w.Expect(w.service.Offer(time.Now(), data)).To(gomega.Succeed())
+		w.Expect(w.usable()).To(gomega.Equal("d"))
+	})
+}
--- a/internal/fleet/routed_test.go
+++ b/internal/fleet/routed_test.go
@@ -222,6 +222,7 @@
 	s.fleet.Entries[1].Terminate()
 	s.Expect(s.fleet.Entries[1].WaitExit(long)).To(gomega.Succeed(), "no request was cut off")
 	s.Expect(s.fleet.StartEntry(s.fleet.Entries[1])).To(gomega.Succeed())
+	s.Expect(s.fleet.WaitReady(s.fleet.Entries[1])).To(gomega.Succeed(), "routes come from a peer while the store is away")
 	s.fleet.Entries[2].Kill()
 	s.Expect(s.fleet.Entries[2].WaitExit(long)).To(gomega.HaveOccurred())
 	s.Expect(s.fleet.Admin(t.Context(), s.fleet.Platform, http.MethodPut, "/admin/faults", standin.Faults{})).To(gomega.Succeed())
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -100,6 +100,16 @@
 	return true
 }
 
+// DepartID is Depart for the listed start of a replica, if it is the one that was born then.
+func (r *Registry) DepartID(now time.Time, id string, born int64) {
+	r.mu.Lock()
+	m := r.replicas[id]
+	r.mu.Unlock()
+	if m != nil && m.replica.Born == born {
+		r.Depart(now, m.replica.Incarnation())
+	}
+}
+
 // IDs returns the IDs of all listed replicas.
 func (r *Registry) IDs() []string {
 	r.mu.Lock()
