Change the stages of replicas by orders of one holder

Cause: a decode replica processes prompts at half the pace, and three of nine did; in bursts the fleet lacked capacity for prompts. A third of each zone's replicas is left for answers, the other decode replicas become prefill replicas, where enough places for answers are left.

--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -23,6 +23,7 @@
 	"rhubarbpoint/relay"
 	"rhubarbpoint/retry"
 	"rhubarbpoint/settings"
+	"rhubarbpoint/stages"
 	"rhubarbpoint/suspect"
 	"rhubarbpoint/upstream"
 )
@@ -45,6 +46,7 @@
 	discovery  *discovery.Service
 	suspicions *suspicions
 	peers      *routedPeers
+	stages     *stages.Controller
 	replicas   *upstream.Registry
 	board      *place.Board
 	pool       *relay.Pool
@@ -83,6 +85,9 @@
 		},
 	})
 	r.peers = newRoutedPeers(s, r.discovery, r.replicas, r.metrics, logger)
+	r.stages = stages.NewController(stages.Options{
+		Store: r.store, Orderer: platform.NewOrderer(), Name: s.Instance, Table: r.discovery.Table, Replicas: r.replicas, Logger: logger,
+	})
 	r.server = entry.NewServer(entry.Options{
 		Document: func() *config.Document { return nil }, Region: s.Region, Health: retry.NewHealth(), Metrics: r.metrics, Logger: logger,
 		Suspects: shared.table,
@@ -111,6 +116,7 @@
 	parts, r.stopParts = context.WithCancel(context.Background())
 	r.running.Go(func() { r.discovery.Run(parts) })
 	r.running.Go(func() { r.prune(parts) })
+	r.running.Go(func() { r.stages.Run(parts) })
 	r.running.Go(func() { _ = r.peers.member.Run(parts) }) // ends with its context
 	r.serve(failed, func() error { return r.peers.transport.Serve(r.listeners.peer) })
 	r.running.Go(func() { r.suspicions.run(parts) })
--- /dev/null
+++ b/stages/orderer.go
@@ -0,0 +1,30 @@
+package stages
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/upstream"
+)
+
+// Errors of orders, to be tested with errors.Is. After any other error the order may have been accepted, or may be later.
+var (
+	// ErrRefused means that the replica did not accept the order.
+	ErrRefused = errors.New("stages: order refused")
+)
+
+// Authority is who gives an order.
+type Authority struct {
+	Holder string
+	// Fence is higher than that of every earlier holder.
+	Fence int64
+}
+
+// Orderer speaks to replicas. Implementations are safe for concurrent use.
+type Orderer interface {
+	// Sequence returns the number of orders that the replica has accepted, and the stage that it has.
+	Sequence(ctx context.Context, replica *upstream.Replica) (sequence int64, stage upstream.Stage, err error)
+	// SetStage orders a replica to change its stage if it has accepted exactly so many orders.
+	SetStage(ctx context.Context, replica *upstream.Replica, stage upstream.Stage, by Authority, sequence int64) error
+}
--- /dev/null
+++ b/stages/plan_test.go
@@ -0,0 +1,61 @@
+package stages_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/stages"
+	"rhubarbpoint/traffic"
+	"rhubarbpoint/upstream"
+)
+
+func service(slots int) *traffic.Service {
+	return &traffic.Service{Name: "model", Engine: &traffic.Engine{Slots: slots}}
+}
+
+// replicas returns replicas named by their zone and number, with one letter for the stage of each.
+func replicas(zones map[string]string) []*upstream.Replica {
+	var list []*upstream.Replica
+	for zone, letters := range zones {
+		for i, letter := range letters {
+			stage := map[rune]upstream.Stage{'p': upstream.Prefill, 'd': upstream.Decode, 'w': upstream.Whole}[letter]
+			list = append(list, &upstream.Replica{ID: fmt.Sprintf("%s%d", zone, i), Service: "model", Zone: zone, Stage: stage})
+		}
+	}
+	return list
+}
+
+// Guards against a plan that takes away the last replica for answers, that never ends, or that changes a deployment without
+// separate stages or with too few places for answers.
+func TestPlans(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		slots int
+		zones map[string]string
+		want  string
+	}{
+		{"a third is left", 128, map[string]string{"a": "pdd", "b": "pddd"}, "a2:prefill b3:prefill"},
+		{"good as it is", 128, map[string]string{"a": "ppd", "b": "d"}, ""},
+		{"no decode in a zone", 128, map[string]string{"a": "ppp", "b": "dd"}, "a2:decode b1:prefill"},
+		{"one replica in a zone", 128, map[string]string{"a": "p", "b": "d"}, ""},
+		{"few places", 6, map[string]string{"a": "ppddd"}, ""},
+		{"no prefill", 128, map[string]string{"a": "ddd"}, ""},
+		{"no decode", 128, map[string]string{"a": "ppp"}, ""},
+		{"whole", 128, map[string]string{"a": "www"}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			list := replicas(c.zones)
+			text := ""
+			for _, change := range stages.Plan(service(c.slots), list) {
+				text += fmt.Sprintf(" %s:%s", change.Replica.ID, change.Stage)
+				change.Replica.Stage = change.Stage
+			}
+			g.Expect(text).To(gomega.Equal(map[bool]string{true: "", false: " " + c.want}[c.want == ""]))
+			g.Expect(stages.Plan(service(c.slots), list)).To(gomega.BeEmpty(), "the plan is carried out")
+		})
+	}
+	gomega.NewWithT(t).Expect(stages.Plan(&traffic.Service{}, replicas(map[string]string{"a": "pdd"}))).To(gomega.BeEmpty())
+}
