--- a/entry/front.go
+++ b/entry/front.go
@@ -39,6 +39,9 @@
 		Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return base },
 	}
+	if server.opts.Routing != nil {
+		f.http.IdleTimeout = routedIdleTimeout
+	}
 	if logger := server.opts.Logger; logger != nil {
 		f.http.ErrorLog = slog.NewLogLogger(logger.Handler(), slog.LevelDebug)
 	}
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -11,6 +11,9 @@
 	bodyTimeout   = 15 * time.Second
 	// idleTimeout closes connections of callers without a request.
 	idleTimeout = 60 * time.Second
+	// routedIdleTimeout is the same for routed requests. It is longer than an operator lets callers stay idle, which can
+	// change while the server runs; TCP keepalive finds callers that are gone.
+	routedIdleTimeout = 5 * time.Minute
 	// writeTimeout bounds each flush to a caller, commentInterval is the longest silence in a stream; together they
 	// find a caller's silent connection within 15 s.
 	writeTimeout    = 5 * time.Second
--- a/place/board_test.go
+++ b/place/board_test.go
@@ -39,7 +39,7 @@
 
 // prompt returns a long prompt about a subject; own is unique to the request.
 func prompt(subject, own uint64) relay.Prompt {
-	return relay.Prompt{Model: "m", Tokens: 9000, MaxAnswer: 2, Parts: []relay.Part{
+	return relay.Prompt{Tokens: 9000, Parts: []relay.Part{
 		{ID: 1, Tokens: 2500}, {ID: 100 + subject, Tokens: 3800}, {ID: 1_000_000 + own, Tokens: 2700},
 	}}
 }
@@ -61,7 +61,7 @@
 		} else {
 			long[p.Run.ID] = true
 		}
-		p, err = board.Choose(now, model, list, ask(now, relay.Prompt{Tokens: 200, MaxAnswer: 200}))
+		p, err = board.Choose(now, model, list, ask(now, relay.Prompt{Tokens: 200}))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		short[p.Run.ID] = true
 	}
@@ -77,7 +77,7 @@
 		g := gomega.NewWithT(t)
 		now := time.Unix(0, 0)
 		for i := range uint64(20) {
-			for _, p := range []relay.Prompt{prompt(i, i), {Tokens: 100, MaxAnswer: 10}} {
+			for _, p := range []relay.Prompt{prompt(i, i), {Tokens: 100}} {
 				placed, err := newBoard(i).Choose(now, model, engines(c.prefill, c.decode), ask(now, p))
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 				g.Expect(placed.Run.Stage).NotTo(gomega.Equal(upstream.Prefill), "a prefill replica gives no answers")
--- a/relay/call.go
+++ b/relay/call.go
@@ -28,10 +28,8 @@
 
 // Prompt describes a generation; it is empty for other requests.
 type Prompt struct {
-	Model string
-	// Tokens is the length of the prompt, MaxAnswer the longest answer.
-	Tokens    int
-	MaxAnswer int
+	// Tokens is the length of the prompt.
+	Tokens int
 	// Parts divide the prompt from its beginning. Requests with equal leading parts can share their KV cache.
 	Parts []Part
 }
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -25,5 +25,4 @@
 type CacheHandle struct {
 	Address string
 	Handle  string
-	Tokens  int
 }
--- a/traffic/limits.go
+++ b/traffic/limits.go
@@ -1,10 +1,7 @@
 package traffic
 
-import "time"
-
 // Limits bound what a caller may send.
 type Limits struct {
-	MaxBodyBytes  int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// MaxBodyBytes is the largest body of a request; zero means the server's own limit.
+	MaxBodyBytes int64
 }
--- a/traffic/route.go
+++ b/traffic/route.go
@@ -16,8 +16,6 @@
 	Timeout time.Duration
 	// TargetLatency is the time in which an answer, or the first event of a stream, is of full use to the caller.
 	TargetLatency time.Duration
-	// GapTarget is the longest pause between events that is still of full use.
-	GapTarget time.Duration
 	// Priority orders the routes, 0 first.
 	Priority int
 	// MaxAttempts bounds the replicas on which one request may start; zero means no bound.
