discovery: read changes in groups

Cause: each change woke the watch of every instance; calls to the store were the largest price on the grown sites.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -21,6 +21,9 @@
 	// watchWait is the longest wait of a watch. A connection that went silent is noticed at its end, so it is well below
 	// the times within which a change must be in force.
 	watchWait = 2500 * time.Millisecond
+	// batchPause follows each change before the next watch. Changes come in groups, and each of them would cost every
+	// instance a call. It is well below the times within which a change must be in force.
+	batchPause = 250 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call. All instances may fail at the same time, and the store
 	// counts refused calls.
 	minRetry = 100 * time.Millisecond
@@ -111,5 +114,8 @@
 	for _, entry := range entries {
 		f.change(now, entry)
 	}
+	if len(entries) > 0 {
+		sleep.For(ctx, batchPause)
+	}
 	return next, nil
 }
