entry: leave out replicas that fail or stay silent when a request is placed

Cause: failures were counted but never used for routed requests, and a replica that takes requests and never answers counted as no failure. Found by reading; TestASilentReplicaIsAvoided failed 20 of 40 requests before, at most 8 after.

--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -51,7 +51,7 @@
 	// begun is set once the head of a stream has been written, last is the last event that the caller has.
 	begun bool
 	last  int64
-	// first and ended are when the first byte was written and when the request was over.
+	// first is when the first byte was written.
 	first  time.Time
 	placed placed
 }
@@ -70,9 +70,10 @@
 	if err != nil {
 		return place.Placement{}, err
 	}
+	replicas = x.server.healthy(now, replicas)
 	p, err := x.routing.Board.Choose(now, x.service, replicas, &place.Request{
-		Cached: x.cacheAt,
-		Prompt: x.call.Prompt, Deadline: x.deadline, Target: x.route.TargetLatency, Tried: x.tried, Refused: x.refused, Continues: x.begun,
+		Prompt: x.call.Prompt, Deadline: x.deadline, Target: x.route.TargetLatency, Cached: x.cacheAt,
+		Tried: x.tried, Refused: x.refused, Continues: x.begun,
 	})
 	switch {
 	case err == nil:
@@ -128,8 +129,8 @@
 	sent := time.Now()
 	before := board.Sent(leg.Replica, uncached)
 	defer func() { board.Ended(leg.Replica, uncached) }()
-	fresh := x.route.Kind == traffic.Once && x.request.Attempts > 0
-	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, leg, fresh)
+	// A repeat gets a connection of its own, as the first attempt may have failed with its connection.
+	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, leg, x.request.Attempts > 0)
 	if err != nil {
 		return err
 	}
@@ -210,7 +211,7 @@
 	return handle, nil
 }
 
-// judge draws the conclusions about a replica from the end of an attempt, and marks the error for the pipeline.
+// judge draws the conclusions about a replica from the end of an attempt.
 func (x *routedExchange) judge(ctx context.Context, replica *upstream.Replica, err error) {
 	start := replica.Incarnation()
 	if err != nil {
@@ -221,13 +222,13 @@
 	}
 	switch {
 	case err == nil:
-		x.server.opts.Health.Succeeded(time.Now(), replica.ID)
+		x.server.opts.Health.Succeeded(time.Now(), start.String())
 		return
 	case errors.Is(err, errUnwell):
 		// Some requests fail on healthy replicas, so one failure says nothing about the replica.
 		x.tried = with(x.tried, start)
 		return
-	case errors.Is(err, relay.ErrEnded):
+	case errors.Is(err, relay.ErrEnded) && !x.silent():
 		return
 	case errors.Is(err, relay.ErrOtherInstance):
 		x.refused = with(x.refused, start)
@@ -237,11 +238,40 @@
 		return
 	}
 	x.tried = with(x.tried, start)
-	if x.server.opts.Health.Failed(time.Now(), replica.ID) {
+	if x.server.opts.Health.Failed(time.Now(), start.String()) {
 		eventUpstreamEjected.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID))
 	}
 }
 
+// silentTargets is how many times its target latency a request without a first byte waits until that counts against the
+// replica although the caller left.
+const silentTargets = 4
+
+// silent says whether a request that ended had no byte of an answer in a time in which it should have had.
+func (x *routedExchange) silent() bool {
+	waited := time.Since(x.call.Arrived)
+	return !x.begun && x.answer == nil && (!time.Now().Before(x.deadline) || x.route.TargetLatency > 0 && waited > silentTargets*x.route.TargetLatency)
+}
+
+// healthy leaves out the replicas that fail, but never more than half of them.
+func (s *Server) healthy(now time.Time, replicas []*upstream.Replica) []*upstream.Replica {
+	keys := make([]string, len(replicas))
+	for i, r := range replicas {
+		keys[i] = r.Incarnation().String()
+	}
+	excluded := s.opts.Health.Excluded(now, keys)
+	if len(excluded) == 0 {
+		return replicas
+	}
+	left := make([]*upstream.Replica, 0, len(replicas))
+	for i, r := range replicas {
+		if !excluded[keys[i]] {
+			left = append(left, r)
+		}
+	}
+	return left
+}
+
 func with(set map[upstream.Incarnation]bool, start upstream.Incarnation) map[upstream.Incarnation]bool {
 	if set == nil {
 		set = make(map[upstream.Incarnation]bool)
--- a/entry/routed_finish.go
+++ b/entry/routed_finish.go
@@ -33,7 +33,7 @@
 	if x.begun && err == nil {
 		return nil
 	}
-	if x.answer != nil && (err == nil || ctx.Err() == nil) {
+	if x.answer != nil {
 		x.deliver(x.answer)
 		return nil
 	}
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -403,3 +403,19 @@
 		s.Expect(s.call("/look/1").body).To(gomega.Equal("good"))
 	})
 }
+
+// Guards against a replica that takes requests and never answers, to which requests are sent on and on.
+func TestASilentReplicaIsAvoided(t *testing.T) {
+	inSite(t, func(s *site) {
+		s.replica("plain", upstream.Whole, hang)
+		s.replica("plain", upstream.Whole, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "good") })
+		failed := 0
+		for range 40 {
+			if s.call("/order/1", "Deadline-Ms", "300").body != "good" {
+				failed++
+			}
+		}
+		s.Expect(failed).To(gomega.BeNumerically(">", 0))
+		s.Expect(failed).To(gomega.BeNumerically("<=", 8))
+	})
+}
--- a/upstream/replica.go
+++ b/upstream/replica.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Replica is one start of an upstream process as discovery describes it.
 type Replica struct {
@@ -27,5 +30,8 @@
 	Born int64
 }
 
+// String returns the identity as a key.
+func (i Incarnation) String() string { return i.ID + "/" + strconv.FormatInt(i.Born, 10) }
+
 // Incarnation returns the identity of this start.
 func (r *Replica) Incarnation() Incarnation { return Incarnation{r.ID, r.Born} }
