--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -89,8 +89,8 @@
 	id, addr := fmt.Sprintf("i-%d", n), fmt.Sprintf("10.9.0.%d:80", n)
 	go (&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Response-Signature", "signed by "+id)
+		w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+		w.Header().Set(platform.HeaderSignature, "signed by "+id)
 		handle(w, r)
 	})}).Serve(s.net.Listen(addr))
 	s.replicas.Put(upstream.Replica{ID: id, Service: service, Address: addr, Zone: "z", Stage: stage})
@@ -112,8 +112,8 @@
 	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+entryAddr+path, strings.NewReader("body"))
 	s.Expect(err).NotTo(gomega.HaveOccurred())
 	req.Host = "h"
-	req.Header.Set("Request-Id", strconv.FormatInt(s.next.Add(1), 10))
-	req.Header.Set("Deadline-Ms", "20000")
+	req.Header.Set(platform.HeaderRequestID, strconv.FormatInt(s.next.Add(1), 10))
+	req.Header.Set(platform.HeaderDeadline, "20000")
 	for i := 0; i < len(fields); i += 2 {
 		req.Header.Set(fields[i], fields[i+1])
 	}
@@ -138,8 +138,8 @@
 }
 
 func notExecuted(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Del("Response-Signature")
-	w.Header().Set("Not-Executed", "1")
+	w.Header().Del(platform.HeaderSignature)
+	w.Header().Set(platform.HeaderNotRun, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -154,7 +154,7 @@
 }
 
 func (s *site) signed(g *got, by string) {
-	s.Expect(g.header.Get("Response-Signature")).To(gomega.Equal(by))
+	s.Expect(g.header.Get(platform.HeaderSignature)).To(gomega.Equal(by))
 }
 
 // Guards against an answer whose status, body or signature is not the replica's, and against a request that reaches the
@@ -163,12 +163,12 @@
 	inSite(t, func(s *site) {
 		s.replica("plain", upstream.Whole, func(w http.ResponseWriter, r *http.Request) {
 			s.Expect([]string{r.Method, r.RequestURI, r.Host}).To(gomega.Equal([]string{"POST", "/order/a%2Fb?c=1;2", "h"}))
-			s.Expect(r.Header.Get("Expect-Instance")).To(gomega.Equal("i-1"))
-			s.Expect(r.Header).NotTo(gomega.HaveKey("Kv-Source"))
+			s.Expect(r.Header.Get(platform.HeaderExpect)).To(gomega.Equal("i-1"))
+			s.Expect(r.Header).NotTo(gomega.HaveKey(platform.HeaderCache))
 			w.WriteHeader(http.StatusTeapot)
 			io.WriteString(w, "answer")
 		})
-		g := s.call("/order/a%2Fb?c=1;2", "Kv-Source", "10.0.0.1:1/forged", "Expect-Instance", "other")
+		g := s.call("/order/a%2Fb?c=1;2", platform.HeaderCache, "10.0.0.1:1/forged", platform.HeaderExpect, "other")
 		s.Expect(g.err).NotTo(gomega.HaveOccurred())
 		s.Expect([]any{g.status, g.body}).To(gomega.Equal([]any{http.StatusTeapot, "answer"}))
 		s.signed(g, "signed by i-1")
@@ -194,8 +194,8 @@
 			g := s.call(path)
 			s.Expect(g.err).NotTo(gomega.HaveOccurred())
 			s.Expect(g.status).To(gomega.Equal(http.StatusBadGateway))
-			s.Expect(g.header).NotTo(gomega.HaveKey("Response-Signature"))
-			s.Expect(g.header).NotTo(gomega.HaveKey("Retry-After"))
+			s.Expect(g.header).NotTo(gomega.HaveKey(platform.HeaderSignature))
+			s.Expect(g.header).NotTo(gomega.HaveKey(platform.HeaderRetryAfter))
 			s.Expect(runs).To(gomega.Equal(1))
 		})
 	}
@@ -208,7 +208,7 @@
 		s.replica("plain", upstream.Whole, notExecuted)
 		g := s.call("/order/1")
 		s.Expect(g.status).To(gomega.Equal(http.StatusServiceUnavailable))
-		after, err := strconv.ParseFloat(g.header.Get("Retry-After"), 64)
+		after, err := strconv.ParseFloat(g.header.Get(platform.HeaderRetryAfter), 64)
 		s.Expect(err).NotTo(gomega.HaveOccurred())
 		s.Expect(after).To(gomega.BeNumerically(">", 0))
 		s.replica("plain", upstream.Whole, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ran") })
@@ -245,7 +245,7 @@
 	inSite(t, func(s *site) {
 		asked := make(chan string, 2)
 		handle := func(w http.ResponseWriter, r *http.Request) {
-			after := r.Header.Get("Last-Event-Id")
+			after := r.Header.Get(platform.HeaderLastEvent)
 			asked <- after
 			if after == "" {
 				events(w, 1, 3)
@@ -290,7 +290,7 @@
 		g := s.call("/order/1")
 		s.Expect(g.status).To(gomega.Equal(http.StatusGatewayTimeout))
 		s.Expect(g.took).To(gomega.BeNumerically("~", onceTimeout, 50*time.Millisecond))
-		g = s.call("/order/1", "Deadline-Ms", "300")
+		g = s.call("/order/1", platform.HeaderDeadline, "300")
 		s.Expect(g.took).To(gomega.BeNumerically("~", 300*time.Millisecond, 50*time.Millisecond))
 	})
 }
@@ -307,8 +307,8 @@
 		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+entryAddr+"/chat/1", strings.NewReader("b"))
 		s.Expect(err).NotTo(gomega.HaveOccurred())
 		req.Host = "h"
-		req.Header.Set("Request-Id", "1")
-		req.Header.Set("Deadline-Ms", "9000")
+		req.Header.Set(platform.HeaderRequestID, "1")
+		req.Header.Set(platform.HeaderDeadline, "9000")
 		time.AfterFunc(time.Second, cancel)
 		_, err = s.client.Do(req)
 		s.Expect(err).To(gomega.HaveOccurred())
@@ -322,16 +322,16 @@
 func TestALongPromptIsProcessedElsewhere(t *testing.T) {
 	inSite(t, func(s *site) {
 		source := s.replica("model", upstream.Prefill, func(w http.ResponseWriter, r *http.Request) {
-			s.Expect(r.Header.Get("Stage")).To(gomega.Equal("prefill"))
-			w.Header().Del("Response-Signature")
+			s.Expect(r.Header.Get(platform.HeaderStage)).To(gomega.Equal("prefill"))
+			w.Header().Del(platform.HeaderSignature)
 			io.WriteString(w, `{"handle":"abc","tokens":5000,"version":1}`)
 		})
 		s.replica("model", upstream.Decode, func(w http.ResponseWriter, r *http.Request) {
-			s.Expect(r.Header.Get("Kv-Source")).To(gomega.Equal(source + "/abc"))
-			s.Expect(r.Header).NotTo(gomega.HaveKey("Stage"))
+			s.Expect(r.Header.Get(platform.HeaderCache)).To(gomega.Equal(source + "/abc"))
+			s.Expect(r.Header).NotTo(gomega.HaveKey(platform.HeaderStage))
 			events(w, 1, 1)
 		})
-		g := s.call("/grade/1", "Token-Count", "5000,2", "Prefix-Hash", "a:2000,b:3000")
+		g := s.call("/grade/1", platform.HeaderTokens, "5000,2", platform.HeaderPrefix, "a:2000,b:3000")
 		s.Expect(g.err).NotTo(gomega.HaveOccurred())
 		s.Expect([]any{g.status, g.body}).To(gomega.Equal([]any{http.StatusOK, "id: 1\ndata: x1\n\n"}))
 		s.signed(g, "signed by i-2")
@@ -344,7 +344,7 @@
 		s.table.Store(nil)
 		g := s.call("/order/1")
 		s.Expect(g.status).To(gomega.Equal(http.StatusServiceUnavailable))
-		s.Expect(g.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		s.Expect(g.header.Get(platform.HeaderRetryAfter)).NotTo(gomega.BeEmpty())
 		s.table.Store(siteTable())
 		s.Expect(s.call("/none/1").status).To(gomega.Equal(http.StatusNotFound))
 	})
@@ -360,12 +360,12 @@
 		stopped := make(chan error, 1)
 		go func() { stopped <- s.front.Drain(2*time.Second, 4*time.Second) }()
 		time.Sleep(time.Second)
-		g := s.call("/chat/2", "Deadline-Ms", "50")
+		g := s.call("/chat/2", platform.HeaderDeadline, "50")
 		s.Expect(g.status).NotTo(gomega.Equal(http.StatusServiceUnavailable), "the balancer still sends callers")
 		conn, err := s.net.Dial(context.Background(), "tcp", entryAddr)
 		s.Expect(err).NotTo(gomega.HaveOccurred())
 		time.Sleep(1500 * time.Millisecond)
-		io.WriteString(conn, "GET /chat/3 HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nDeadline-Ms: 9000\r\n\r\n")
+		fmt.Fprintf(conn, "GET /chat/3 HTTP/1.1\r\nHost: h\r\n%s: 3\r\n%s: 9000\r\n\r\n", platform.HeaderRequestID, platform.HeaderDeadline)
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		s.Expect(err).NotTo(gomega.HaveOccurred())
 		s.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable), "too late to end before the stop")
@@ -411,7 +411,7 @@
 		s.replica("plain", upstream.Whole, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "good") })
 		failed := 0
 		for range 40 {
-			if s.call("/order/1", "Deadline-Ms", "300").body != "good" {
+			if s.call("/order/1", platform.HeaderDeadline, "300").body != "good" {
 				failed++
 			}
 		}
--- a/internal/fleet/routed_test.go
+++ b/internal/fleet/routed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +18,8 @@
 	"rhubarbpoint/internal/fleet"
 	standin "rhubarbpoint/internal/standin/platform"
 	"rhubarbpoint/platform"
+	"rhubarbpoint/traffic"
+	"rhubarbpoint/upstream"
 )
 
 // Times that the users' platform sets: a change of routes or a leaving replica takes effect within these.
@@ -64,25 +65,25 @@
 	return s
 }
 
-func (s *routedSite) put(key string, value any) {
-	data, err := json.Marshal(value)
-	s.Expect(err).NotTo(gomega.HaveOccurred())
-	revision, err := s.store.Put(context.Background(), key, data, s.revisions[key], 0)
+func (s *routedSite) put(key string, value []byte) {
+	revision, err := s.store.Put(context.Background(), key, value, s.revisions[key], 0)
 	s.Expect(err).NotTo(gomega.HaveOccurred())
 	s.revisions[key] = revision
 }
 
 // routes puts a version of the routes in force; the order route goes to the given service.
-func (s *routedSite) routes(version int, orders string) {
-	route := func(name, kind, service string, attempts int) map[string]any {
-		return map[string]any{"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000,
-			"target_latency_ms": 500, "service": service, "max_attempts": attempts, "resumable": kind == "streaming"}
+func (s *routedSite) routes(version int64, orders string) {
+	route := func(name string, kind traffic.Kind, service string, attempts int) traffic.Route {
+		return traffic.Route{
+			Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 4 * time.Second, TargetLatency: 500 * time.Millisecond,
+			MaxAttempts: attempts, Resumable: kind == traffic.Stream, Split: []traffic.Share{{Service: service, Weight: 1}},
+		}
 	}
-	s.put(platform.KeyTraffic, map[string]any{
-		"version":  version,
-		"routes":   []any{route("order", "non_idempotent", orders, 1), route("look", "idempotent", "a", 2), route("chat", "streaming", "a", 2)},
-		"services": []any{map[string]any{"name": "a"}, map[string]any{"name": "b"}},
-	})
+	s.put(platform.KeyTraffic, platform.EncodeTable(&traffic.Table{
+		Version:  version,
+		Routes:   []traffic.Route{route("order", traffic.Once, orders, 1), route("look", traffic.Idempotent, "a", 2), route("chat", traffic.Stream, "a", 2)},
+		Services: map[string]traffic.Service{"a": {Name: "a"}, "b": {Name: "b"}},
+	}))
 }
 
 // replica serves a service in this process and lists it in the store.
@@ -91,11 +92,11 @@
 	s.Expect(err).NotTo(gomega.HaveOccurred())
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.run(id, w, r) })}
 	go server.Serve(l)
-	entry := map[string]any{"service": service, "address": l.Addr().String(), "zone": "z", "slots": 64, "state": "ready", "born": 1}
-	s.put(platform.PrefixReplicas+id, entry)
+	entry := upstream.Replica{ID: id, Born: 1, Service: service, Address: l.Addr().String(), Zone: "z", Slots: 64}
+	s.put(platform.EncodeReplica(&entry))
 	return func() {
-		entry["state"] = "draining"
-		s.put(platform.PrefixReplicas+id, entry)
+		entry.Draining = true
+		s.put(platform.EncodeReplica(&entry))
 	}
 }
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -13,5 +13,12 @@
 $GO vet ./...
 $GO tool staticcheck ./...
 sh scripts/check-docs.sh
+# The names of the users' platform belong to its adapter alone.
+if git grep -nE 'fencing_token|Not-Executed|Prefix-Hash|Token-Count|kv-txn|Response-Signature|Expect-Instance|Kv-Source|Deadline-Ms' -- '*.go' ':!platform'; then
+	echo "names of the platform outside the folder platform"
+	exit 1
+fi
+# As deploy/system.toml builds it.
+$GO build -ldflags=-linkmode=external -o target/ ./cmd/rhubarbpoint
 # Without the cache: the tests of internal/fleet run programs that the cache does not know of.
 $GO test -race -count=1 -timeout 20m ./...
