--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,44 +46,34 @@
 	}
 	go reload(ctx, reloadLogger(logger, s, func(*settings.Settings) {}), reloadFailed(logger))
 	eventStarted.Log(ctx, logger, slog.String("instance", i.member.Self()), slog.Int("pid", os.Getpid()))
-	failed := i.start()
+	i.start()
 	select {
 	case <-ctx.Done():
-	case err = <-failed:
+	case err = <-i.failed:
 		eventListenerFailed.Log(ctx, logger, slog.Any("error", err))
 	}
 	return errors.CombineErrors(err, i.stop())
 }
 
-// start runs all parts in the background. The returned channel gets an error when a listener fails.
-func (i *instance) start() <-chan error {
-	failed := make(chan error, 4)
+// start runs all parts in the background.
+func (i *instance) start() {
 	var authority, parts context.Context
 	authority, i.stopAuthority = context.WithCancel(context.Background())
 	parts, i.stopParts = context.WithCancel(context.Background())
 	i.running.Go(func() { i.manager.Run(parts) })
 	i.running.Go(func() { _ = i.member.Run(parts) })
 	i.running.Go(func() { i.capacity.run(parts) })
-	i.serve(failed, func() error { return i.transport.Serve(i.listeners.peer) })
-	i.serve(failed, func() error { return i.operator.Serve(i.listeners.operator) })
-	i.serve(failed, func() error { return i.front.Serve(i.listeners.caller) })
+	i.serve(func() error { return i.transport.Serve(i.listeners.peer) })
+	i.serve(func() error { return i.operator.Serve(i.listeners.operator) })
+	i.serve(func() error { return i.front.Serve(i.listeners.caller) })
 	if i.listeners.metrics != nil {
 		i.metricsServer = newMetricsListener(i.metrics)
-		i.serve(failed, func() error { return i.metricsServer.Serve(i.listeners.metrics) })
+		i.serve(func() error { return i.metricsServer.Serve(i.listeners.metrics) })
 	}
 	if i.holder != nil {
 		i.authority.Go(func() { i.holder.Run(authority) })
 		i.authority.Go(func() { i.controller.Run(authority) })
 	}
-	return failed
-}
-
-func (i *instance) serve(failed chan<- error, run func() error) {
-	i.running.Go(func() {
-		if err := run(); err != nil && !i.stopping.Load() {
-			failed <- err
-		}
-	})
 }
 
 // stop gives up the authority and the gates first, so that a successor can act while requests finish here.
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,15 +65,14 @@
 	metricsServer *operatorListener
 	trace         *entry.TraceFile
 
-	stopping      atomic.Bool
+	*listening
 	stopAuthority context.CancelFunc
 	stopParts     context.CancelFunc
 	authority     sync.WaitGroup
-	running       sync.WaitGroup
 }
 
 func newInstance(ctx context.Context, s *settings.Settings, logger *slog.Logger) (*instance, error) {
-	i := &instance{settings: s, logger: logger, metrics: metrics.NewRegistry(), engines: httpengine.New()}
+	i := &instance{listening: newListening(), settings: s, logger: logger, metrics: metrics.NewRegistry(), engines: httpengine.New()}
 	var err error
 	if i.listeners, err = openListeners(ctx, s); err != nil {
 		return nil, err
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -4,8 +4,6 @@
 	"context"
 	"log/slog"
 	"os"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,13 +54,13 @@
 	// metricsServer is nil without a listener of its own.
 	metricsServer *operatorListener
 
-	stopping  atomic.Bool
-	stopParts context.CancelFunc
-	running   sync.WaitGroup
+	*listening
+	stopAuthority context.CancelFunc
+	stopParts     context.CancelFunc
 }
 
 func newRouted(ctx context.Context, s *settings.Settings, logger *slog.Logger) (*routed, error) {
-	r := &routed{settings: s, logger: logger, metrics: metrics.NewRegistry(), replicas: upstream.NewRegistry(), pool: relay.NewPool(nil)}
+	r := &routed{listening: newListening(), settings: s, logger: logger, metrics: metrics.NewRegistry(), replicas: upstream.NewRegistry(), pool: relay.NewPool(nil)}
 	var err error
 	if r.listeners, err = openListeners(ctx, s); err != nil {
 		return nil, err
@@ -111,44 +109,38 @@
 // run serves until the context ends and then stops gracefully.
 func (r *routed) run(ctx context.Context, reload Reload) error {
 	eventStarted.Log(ctx, r.logger, slog.String("instance", r.settings.Instance), slog.Int("pid", os.Getpid()))
-	failed := make(chan error, 4)
-	var parts context.Context
+	var authority, parts context.Context
+	authority, r.stopAuthority = context.WithCancel(context.Background())
 	parts, r.stopParts = context.WithCancel(context.Background())
 	r.running.Go(func() { r.discovery.Run(parts) })
 	r.running.Go(func() { r.prune(parts) })
-	r.running.Go(func() { r.stages.Run(parts) })
+	r.running.Go(func() { r.stages.Run(authority) })
 	r.running.Go(func() { _ = r.peers.member.Run(parts) }) // ends with its context
-	r.serve(failed, func() error { return r.peers.transport.Serve(r.listeners.peer) })
+	r.serve(func() error { return r.peers.transport.Serve(r.listeners.peer) })
 	r.running.Go(func() { r.suspicions.run(parts) })
 	r.running.Go(func() {
 		reload(parts, reloadLogger(r.logger, r.settings, func(next *settings.Settings) { r.store.SetAddress(next.Platform) }),
 			reloadFailed(r.logger))
 	})
-	r.serve(failed, func() error { return r.operator.Serve(r.listeners.operator) })
+	r.serve(func() error { return r.operator.Serve(r.listeners.operator) })
 	if r.listeners.metrics != nil {
 		r.metricsServer = newMetricsListener(r.metrics)
-		r.serve(failed, func() error { return r.metricsServer.Serve(r.listeners.metrics) })
+		r.serve(func() error { return r.metricsServer.Serve(r.listeners.metrics) })
 	}
-	r.serve(failed, func() error { return r.front.Serve(r.listeners.caller) })
+	r.serve(func() error { return r.front.Serve(r.listeners.caller) })
 	var err error
 	select {
 	case <-ctx.Done():
-	case err = <-failed:
+	case err = <-r.failed:
 		eventListenerFailed.Log(ctx, r.logger, slog.Any("error", err))
 	}
 	return errors.CombineErrors(err, r.stop())
 }
 
-func (r *routed) serve(failed chan<- error, run func() error) {
-	r.running.Go(func() {
-		if err := run(); err != nil && !r.stopping.Load() {
-			failed <- err
-		}
-	})
-}
-
+// stop gives up the authority over stages first, so that a successor can act while requests finish here.
 func (r *routed) stop() error {
 	r.stopping.Store(true)
+	r.stopAuthority()
 	eventStopping.Log(context.Background(), r.logger)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
