--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -20,5 +20,20 @@
 fi
 # As deploy/system.toml builds it.
 $GO build -ldflags=-linkmode=external -o target/ ./cmd/rhubarbpoint
+# Tests that are known to fail run apart and do not decide; each must pass without the race detector all the same.
+skip='^$'
+if [ -f KNOWN-RED.txt ]; then
+	skip="^($(cut -d' ' -f2 KNOWN-RED.txt | paste -sd'|' -))\$"
+fi
 # Without the cache: the tests of internal/fleet run programs that the cache does not know of.
-$GO test -race -count=1 -timeout 20m ./...
+$GO test -race -count=1 -timeout 20m -skip "$skip" ./...
+if [ -f KNOWN-RED.txt ]; then
+	while read -r package test rest; do
+		$GO test -count=1 -run "^$test\$" "$package"
+		if $GO test -race -count=1 -run "^$test\$" "$package" >/dev/null 2>&1; then
+			echo "known red, passed this time: $package $test $rest"
+		else
+			echo "known red, failed: $package $test $rest"
+		fi
+	done <KNOWN-RED.txt
+fi
