entry, relay: two regressions of plain services that came with the shared pipeline

Found by reading the change. TestOrdersAvoidReplicasThatLeave- Meanwhile (11 of 20 orders at the leaving replica) and TestAnAnswerToHeadNeedsNoLength failed before.

--- a/entry/idempotent.go
+++ b/entry/idempotent.go
@@ -16,6 +16,7 @@
 // runIdempotent calls one replica after another until one answers.
 func (e *exchange) runIdempotent(ctx context.Context) (*claim.Answer, *Error) {
 	s := e.server
+	e.replicas = s.replicas(time.Now(), e.service)
 	request := &pipeline.Request{Repeatable: true, MaxRetries: maxCharged, Budget: s.opts.Budget}
 	err := pipeline.Run(ctx, request, e, func() { s.metrics.retries.Inc(1) })
 	if err == nil {
--- a/entry/order.go
+++ b/entry/order.go
@@ -47,7 +47,8 @@
 // sendOnce sends the order to the first replica that accepts a connection. Nothing was sent to one that does not, so
 // the next may be tried; after a connection was made, none is.
 func (e *exchange) sendOnce(ctx context.Context) (*claim.Answer, error) {
-	e.fresh = true
+	// The order may have waited for its claim, and replicas may have begun to leave meanwhile.
+	e.replicas, e.fresh = e.server.replicas(time.Now(), e.service), true
 	request := &pipeline.Request{MaxRetries: len(e.replicas) - 1, Budget: e.server.opts.Budget}
 	err := pipeline.Run(ctx, request, e, func() {})
 	switch {
--- a/entry/service.go
+++ b/entry/service.go
@@ -31,7 +31,7 @@
 		below += "?" + r.URL.RawQuery
 	}
 	e := &exchange{
-		server: s, service: service, replicas: s.replicas(time.Now(), service),
+		server: s, service: service,
 		call: &relay.Call{ID: c.id, Method: r.Method, Target: below, Header: forwarded(r.Header, c), Body: body, After: -1},
 	}
 	var answer *claim.Answer
--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -152,3 +152,30 @@
 		}
 	})
 }
+
+// waitingRunner claims a key only after something has happened, as a store that was away does.
+type waitingRunner struct {
+	runner
+	wait func()
+}
+
+func (r *waitingRunner) Run(ctx context.Context, key string, f claim.Fingerprint, send claim.SendFunc) (*claim.Answer, error) {
+	r.wait()
+	return r.runner.Run(ctx, key, f, send)
+}
+
+// Guards against an order that goes to a replica which began to leave while the order waited for its claim.
+func TestOrdersAvoidReplicasThatLeaveMeanwhile(t *testing.T) {
+	left := false
+	inFleet(t, 1, func(f *fleet) {
+		f.opts.Leaving = func(id string) bool { return left && id == f.doc.Orders.Services[0].Upstreams[0].ID }
+		f.opts.Orders = &waitingRunner{wait: func() { left = true }}
+	}, func(f *fleet) {
+		all := f.startOrders()
+		for range 20 {
+			left = false
+			f.Expect(f.book().status).To(gomega.Equal(http.StatusCreated))
+		}
+		f.Expect(all[0].Executions()[orderKey]).To(gomega.BeZero())
+	})
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -97,7 +97,7 @@
 
 // accept judges the head of the answer.
 func (x *Exchange) accept() error {
-	x.unframed = x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0
+	x.unframed = x.resp.Request.Method != http.MethodHead && x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0
 	switch {
 	case x.reply.NotRun:
 		err := errors.Mark(errors.Newf("relay: status %d", x.resp.StatusCode), ErrRefused)
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -228,3 +228,16 @@
 	_, err := r.whole(t, relay.NewPool(nil), "1")
 	g.Expect(errors.Is(err, relay.ErrNotSent)).To(gomega.BeTrue(), "%v", err)
 }
+
+// Guards against an answer to HEAD that is taken for cut, because it has neither a length nor a body.
+func TestAnAnswerToHeadNeedsNoLength(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newReplica(t, "HTTP/1.1 200 OK\r\nId: ID\r\nMark: m\r\n\r\n")
+	call := &relay.Call{ID: "1", Method: http.MethodHead, Target: "/p", Host: "h.example", Header: http.Header{}}
+	leg := &relay.Leg{Replica: &upstream.Replica{ID: "r", Address: r.listener.Addr().String()}, After: -1}
+	x, err := relay.Send(t.Context(), relay.NewPool(nil), dialect{}, call, leg, false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer x.Close()
+	g.Expect(x.Delimited()).To(gomega.BeTrue())
+	g.Expect(x.Whole()).To(gomega.BeEmpty())
+}
