Shared pieces for a simulator of routed deployments

The virtual clock, the model of a prefix cache, and the time after which refused callers return are packages and functions of their own, and pipeline.Request can be driven without its loop. No change of behaviour.

--- a/entry/routed.go
+++ b/entry/routed.go
@@ -32,8 +32,6 @@
 const (
 	// defaultRoutedBody bounds a body when the routes set no limit.
 	defaultRoutedBody = 4 << 20
-	// refusalPause is the least time after which a refused caller is asked to come back.
-	refusalPause = 200 * time.Millisecond
 	// noTablePause is the Retry-After before the first routes are known. The store answers within milliseconds when it
 	// can be reached.
 	noTablePause = 500 * time.Millisecond
@@ -57,7 +55,7 @@
 		return notRun(http.StatusNotFound, codeUnknownRoute, "no route has this host and path")
 	}
 	if s.refusing.Load() {
-		return notRun(http.StatusServiceUnavailable, codeStopping, "the instance stops").after(refusalPause)
+		return notRun(http.StatusServiceUnavailable, codeStopping, "the instance stops").after(retry.RefusalPause)
 	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
@@ -70,7 +68,7 @@
 	}
 	service, known := table.Services[route.Service(routing.Board.Point())]
 	if !known {
-		return notRun(http.StatusServiceUnavailable, codeNoUpstream, "the route has no service").after(refusalPause)
+		return notRun(http.StatusServiceUnavailable, codeNoUpstream, "the route has no service").after(retry.RefusalPause)
 	}
 	x.service = &service
 	s.noteDeadline(x.deadline)
--- a/internal/bench/engine_model.go
+++ b/internal/bench/engine_model.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rhubarbpoint/engine"
+	"rhubarbpoint/internal/simclock"
 	"rhubarbpoint/peer/peerpb"
 	"rhubarbpoint/route"
 )
@@ -58,7 +59,7 @@
 	if w.part != prefillPart && e.speed.prefill || w.part == prefillPart && e.role == engine.RoleDecode {
 		return false
 	}
-	e.arrivals = append(e.arrivals, e.sim.now)
+	e.arrivals = append(e.arrivals, e.sim.Now())
 	if w.part == decodePart {
 		e.seats = append(e.seats, w)
 	} else {
@@ -98,14 +99,14 @@
 		e.stepN++
 	}
 	running := len(e.batch)
-	e.sim.after(toDuration(duration), func() { e.endStep(running, done) })
+	e.sim.After(simclock.Seconds(duration), func() { e.endStep(running, done) })
 }
 
 // dropExpired ends queued work whose deadline has passed; its caller has gone.
 func (e *engineModel) dropExpired() {
 	kept := e.queue[:0]
 	for _, w := range e.queue {
-		if !w.a.started && e.sim.now > w.a.arrived+w.a.req.deadline() {
+		if !w.a.started && e.sim.Now() > w.a.arrived+w.a.req.deadline() {
 			e.sim.finish(w.a, false)
 			continue
 		}
@@ -149,7 +150,7 @@
 	kept := e.batch[:0]
 	for i, w := range e.batch {
 		if i < running {
-			w.a.token(e.sim.now)
+			w.a.token(e.sim.Now())
 			if w.a.tokens >= w.a.req.OutputTokens {
 				e.sim.finish(w.a, true)
 				continue
@@ -164,7 +165,7 @@
 			e.sim.transfer(w.a)
 			continue
 		}
-		w.a.token(e.sim.now)
+		w.a.token(e.sim.Now())
 		if w.a.tokens >= w.a.req.OutputTokens {
 			e.sim.finish(w.a, true)
 			continue
@@ -194,7 +195,7 @@
 		return
 	}
 	e.changing = true
-	e.sim.after(changeTime, func() {
+	e.sim.After(changeTime, func() {
 		e.setRole(*e.target)
 		e.target, e.changing = nil, false
 	})
@@ -226,7 +227,7 @@
 // report is the engine's load record at this time.
 func (e *engineModel) report() *peerpb.UpstreamLoad {
 	const window = 5 * time.Second
-	for len(e.arrivals) > 0 && e.arrivals[0] < e.sim.now-window {
+	for len(e.arrivals) > 0 && e.arrivals[0] < e.sim.Now()-window {
 		e.arrivals = e.arrivals[1:]
 	}
 	if e.stepN > 0 {
@@ -239,7 +240,7 @@
 	}
 	e.reports++
 	return &peerpb.UpstreamLoad{
-		Upstream: e.id, Seq: e.reports, AtUnixMilli: e.sim.time().UnixMilli(), EpochHash: e.epoch,
+		Upstream: e.id, Seq: e.reports, AtUnixMilli: e.sim.Time().UnixMilli(), EpochHash: e.epoch,
 		Role: route.RoleNumber(e.role), Running: uint32(len(e.batch)), Waiting: uint32(len(e.queue) + len(e.seats)),
 		WaitingTokens: uint32(waiting), ArrivalsMilli: uint32(1000 * len(e.arrivals) / int(window.Seconds())),
 		PrefillTokensPerSecond: uint32(e.speed.rate(len(e.batch))), StepMicros: uint32(1e6 * e.lastStep),
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rhubarbpoint/admit"
+	"rhubarbpoint/internal/simclock"
 	"rhubarbpoint/peer/peerpb"
 	"rhubarbpoint/route"
 )
@@ -38,11 +39,11 @@
 
 // handle decides on a new request.
 func (e *entry) handle(req *Request) {
-	a := &attempt{req: req, entry: e, arrived: e.sim.now - callerLatency}
+	a := &attempt{req: req, entry: e, arrived: e.sim.Now() - callerLatency}
 	e.sim.requests++
 	a.route = &route.Request{
 		ID: strconv.Itoa(e.sim.requests), Model: req.Model, Version: modelVersion, Pieces: req.pieces,
-		PromptTokens: req.PromptTokens, Arrived: e.sim.time(), MaxTokens: req.MaxTokens, Deadline: start.Add(a.arrived + req.deadline()),
+		PromptTokens: req.PromptTokens, Arrived: e.sim.Time(), MaxTokens: req.MaxTokens, Deadline: simclock.At(a.arrived + req.deadline()),
 		Exclude: map[string]bool{},
 	}
 	e.try(a, true)
@@ -50,7 +51,7 @@
 
 // try sends an attempt to an engine. The first try passes admission.
 func (e *entry) try(a *attempt, first bool) {
-	now := e.sim.time()
+	now := e.sim.Time()
 	a.tries++
 	if e.sim.policy.routing != routeTable {
 		e.send(a, e.baseline())
@@ -77,7 +78,7 @@
 	}
 	if choice.Hold > 0 {
 		a.tries--
-		e.sim.after(choice.Hold, func() { e.try(a, false) })
+		e.sim.After(choice.Hold, func() { e.try(a, false) })
 		return
 	}
 	a.choice = choice
@@ -105,11 +106,11 @@
 		a.latency = regionLatency
 		e.sim.result.Bytes += int64(bytesPerPrompt * a.req.PromptTokens)
 	}
-	e.sim.after(a.latency, func() {
+	e.sim.After(a.latency, func() {
 		if to.submit(work{a, p}) {
 			return
 		}
-		e.sim.after(a.latency, func() { e.refused(a, to) })
+		e.sim.After(a.latency, func() { e.refused(a, to) })
 	})
 }
 
@@ -117,7 +118,7 @@
 func (e *entry) refused(a *attempt, by *engineModel) {
 	e.sim.result.Retries++
 	if e.sim.policy.routing == routeTable {
-		e.table.Finished(e.sim.time(), a.choice, a.route, route.Outcome{Failed: true})
+		e.table.Finished(e.sim.Time(), a.choice, a.route, route.Outcome{Failed: true})
 	}
 	a.route.Exclude[by.id] = true
 	if a.tries >= maxTries {
--- a/internal/bench/holder.go
+++ b/internal/bench/holder.go
@@ -35,8 +35,8 @@
 }
 
 func (h *holder) tick() {
-	h.controller.Step(context.Background(), h.sim.time())
-	h.sim.after(controller.Interval, h.tick)
+	h.controller.Step(context.Background(), h.sim.Time())
+	h.sim.After(controller.Interval, h.tick)
 }
 
 // Held implements controller.Applier.
@@ -51,7 +51,7 @@
 	m.order(order.Role)
 	h.sim.result.RoleChanges++
 	h.sim.result.Schedule = append(h.sim.result.Schedule, ScheduledChange{
-		Seconds: h.sim.now.Seconds(), Engine: id, Role: string(order.Role),
+		Seconds: h.sim.Now().Seconds(), Engine: id, Role: string(order.Role),
 		region: h.region, from: m.role, began: h.draining,
 	})
 	return nil
@@ -61,14 +61,14 @@
 	if until.IsZero() {
 		h.marked = ""
 	} else if h.marked != id {
-		h.marked, h.draining = id, h.sim.now
+		h.marked, h.draining = id, h.sim.Now()
 	}
 	for _, e := range h.sim.entries {
 		delay := localLatency
 		if e.region != h.region {
 			delay = regionLatency
 		}
-		h.sim.after(delay, func() { e.table.SetPlanned(h.sim.time(), id, until) })
+		h.sim.After(delay, func() { e.table.SetPlanned(h.sim.Time(), id, until) })
 	}
 }
 
--- a/internal/bench/scheduled.go
+++ b/internal/bench/scheduled.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rhubarbpoint/engine"
+	"rhubarbpoint/internal/simclock"
 	"rhubarbpoint/role"
 	"rhubarbpoint/role/controller"
 )
@@ -26,7 +27,7 @@
 		return nil
 	}
 	m := s.moves[s.next]
-	if in.Now.Sub(start) < m.at {
+	if in.Now.Before(simclock.At(m.at)) {
 		return nil
 	}
 	s.next++
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbpoint/engine"
+	"rhubarbpoint/internal/simclock"
 	"rhubarbpoint/peer/peerpb"
 )
 
@@ -13,7 +14,7 @@
 
 // Sim is one replay of a trace under a policy.
 type Sim struct {
-	clock
+	simclock.Clock
 	seed    uint64
 	trace   *Trace
 	policy  Policy
@@ -44,7 +45,7 @@
 	}
 	s.build(entriesPerRegion)
 	s.schedule()
-	s.advance(trace.Length + time.Minute)
+	s.Advance(trace.Length + time.Minute)
 	r := s.result
 	r.Goodput = float64(r.Good) / (trace.Length - trace.warmup()).Seconds()
 	r.Late = r.Requests - r.Good - r.Refused
@@ -78,7 +79,7 @@
 	for i := range s.trace.Requests {
 		req := &s.trace.Requests[i]
 		e := s.entries[regions[req.Region]+Regions*s.random.IntN(perRegion)]
-		s.after(req.at()+callerLatency, func() { e.handle(req) })
+		s.After(req.at()+callerLatency, func() { e.handle(req) })
 	}
 	for i, e := range s.engines {
 		if e.down {
@@ -89,19 +90,19 @@
 		} else {
 			s.report(e)
 		}
-		s.after(time.Duration(i+1)*time.Second/time.Duration(len(s.engines)+1), func() { s.poll(e) })
+		s.After(time.Duration(i+1)*time.Second/time.Duration(len(s.engines)+1), func() { s.poll(e) })
 	}
-	s.after(time.Second, s.summarise)
+	s.After(time.Second, s.summarise)
 	for _, w := range s.trace.Faults.Withdrawn {
 		s.withdraw(w)
 	}
 	if s.policy.planner != nil {
 		for region := range Regions {
 			h := newHolder(s, region, s.policy.planner(region))
-			s.after(time.Second, h.tick)
+			s.After(time.Second, h.tick)
 		}
 	}
-	s.after(time.Second, s.capacity)
+	s.After(time.Second, s.capacity)
 }
 
 // poll publishes the load and the cache events of an engine each second.
@@ -110,20 +111,20 @@
 		s.report(e)
 		s.cacheEvents(e)
 	}
-	s.after(time.Second, func() { s.poll(e) })
+	s.After(time.Second, func() { s.poll(e) })
 }
 
 // report delivers a load report late to the instances of the region.
 func (s *Sim) report(e *engineModel) {
 	load := e.report()
 	lag := s.trace.Faults.ReportLag
-	if s.now == 0 {
+	if s.Now() == 0 {
 		lag = 0
 	}
-	s.after(lag, func() {
+	s.After(lag, func() {
 		for _, en := range s.entries {
 			if en.region == e.region {
-				en.table.UpdateLoad(s.time(), load)
+				en.table.UpdateLoad(s.Time(), load)
 				en.loads[e.index] = load
 			}
 		}
@@ -145,7 +146,7 @@
 		}
 		batch.Events = append(batch.Events, ev)
 	}
-	s.after(s.trace.Faults.EventLag, func() {
+	s.After(s.trace.Faults.EventLag, func() {
 		for _, en := range s.entries {
 			if en.region == e.region {
 				en.table.UpdateCache(e.id, batch)
@@ -172,42 +173,42 @@
 		}
 		name := RegionName(region)
 		summary := &peerpb.ZoneSummary{
-			Region: name, Zone: name, Seq: uint64(s.now), Models: []*peerpb.ModelCapacity{c},
+			Region: name, Zone: name, Seq: uint64(s.Now()), Models: []*peerpb.ModelCapacity{c},
 		}
-		s.after(s.trace.Faults.ReportLag+summaryLag, func() {
+		s.After(s.trace.Faults.ReportLag+summaryLag, func() {
 			for _, en := range s.entries {
 				if en.region != region {
-					en.table.UpdateZone(s.time(), summary)
+					en.table.UpdateZone(s.Time(), summary)
 				}
 			}
 		})
 	}
-	s.after(summaryInterval, s.summarise)
+	s.After(summaryInterval, s.summarise)
 }
 
 // capacity tells the admitters how many engines they share, as the daemon does.
 func (s *Sim) capacity() {
 	instances := float64(len(s.entries) / Regions)
 	for _, en := range s.entries {
-		en.fair.SetCapacity(s.time(), float64(en.table.Available(s.time()))/instances)
+		en.fair.SetCapacity(s.Time(), float64(en.table.Available(s.Time()))/instances)
 	}
-	s.after(time.Second, s.capacity)
+	s.After(time.Second, s.capacity)
 }
 
 // withdraw takes an engine away. The instances learn of it a second later.
 func (s *Sim) withdraw(w Withdrawal) {
 	e := s.engines[w.Engine]
-	s.after(w.From, func() {
+	s.After(w.From, func() {
 		epoch := e.epoch
 		e.leave()
-		s.after(time.Second, func() {
+		s.After(time.Second, func() {
 			s.gone[w.Engine] = true
 			for _, en := range s.entries {
 				en.table.SetLeaving(e.id, epoch)
 			}
 		})
 	})
-	s.after(w.To, func() {
+	s.After(w.To, func() {
 		e.comeBack()
 		s.gone[w.Engine] = false
 	})
@@ -217,7 +218,7 @@
 func (s *Sim) transfer(a *attempt) {
 	to := s.byID[a.choice.EngineID]
 	took := float64(a.req.PromptTokens) * kvBytes / localKVRate
-	s.after(toDuration(took)+localLatency, func() {
+	s.After(simclock.Seconds(took)+localLatency, func() {
 		if !to.submit(work{a, decodePart}) {
 			a.entry.refused(a, to)
 		}
@@ -242,7 +243,7 @@
 
 // finish ends an attempt at its engine; ok is false when it expired there.
 func (s *Sim) finish(a *attempt, ok bool) {
-	s.after(a.latency, func() { a.entry.finished(s.time(), a, ok) })
+	s.After(a.latency, func() { a.entry.finished(s.Time(), a, ok) })
 	if !s.counts(a) {
 		return
 	}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -28,9 +28,9 @@
 		target, err := ex.Place(ctx)
 		if err == nil {
 			err = ex.Attempt(ctx, target)
-			req.note(err)
+			req.Note(err)
 		}
-		if err == nil || ctx.Err() != nil || !req.again(time.Now(), err) {
+		if err == nil || ctx.Err() != nil || !req.Again(time.Now(), err) {
 			return err
 		}
 		onRetry()
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -40,16 +40,16 @@
 // Accepted notes that an upstream took the request.
 func (r *Request) Accepted() { r.unplaced = time.Time{} }
 
-// note counts a failed or successful attempt.
-func (r *Request) note(err error) {
+// Note counts a failed or successful attempt.
+func (r *Request) Note(err error) {
 	r.Attempts++
 	if !errors.Is(err, ErrNotRun) && !errors.Is(err, ErrNotSent) {
 		r.Started++
 	}
 }
 
-// again says whether another attempt may follow the error.
-func (r *Request) again(now time.Time, err error) bool {
+// Again says whether another attempt may follow the error, and charges it to the budget.
+func (r *Request) Again(now time.Time, err error) bool {
 	switch {
 	case errors.Is(err, ErrFinal):
 		return false
--- a/place/board.go
+++ b/place/board.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"rhubarbpoint/internal/partcache"
 	"rhubarbpoint/relay"
 	"rhubarbpoint/traffic"
 	"rhubarbpoint/upstream"
@@ -88,7 +89,7 @@
 	if service.Engine == nil {
 		return
 	}
-	b.cache(l, service).use(prompt.Parts)
+	b.cache(l, service).Use(prompt.Parts)
 	if tokens < longPrompt {
 		return
 	}
@@ -148,9 +149,9 @@
 	return l
 }
 
-func (b *Board) cache(l *load, service *traffic.Service) *prefixes {
+func (b *Board) cache(l *load, service *traffic.Service) *partcache.Cache {
 	if l.cache == nil {
-		l.cache = newPrefixes(service.Engine.KVTokens)
+		l.cache = partcache.New(service.Engine.KVTokens)
 	}
 	return l.cache
 }
--- a/place/engine.go
+++ b/place/engine.go
@@ -82,7 +82,7 @@
 func (b *Board) option(now time.Time, service *traffic.Service, r *upstream.Replica, req *Request, shared int, isHome bool) option {
 	l, p := b.load(r.Incarnation()), b.pace(service.Name)
 	relative := relativePace(r)
-	cached := b.cache(l, service).cached(req.Prompt.Parts)
+	cached := b.cache(l, service).Cached(req.Prompt.Parts)
 	if isHome {
 		// Requests of other instances have left the shared parts there.
 		cached = max(cached, shared)
--- a/place/load.go
+++ b/place/load.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"rhubarbpoint/internal/partcache"
 	"rhubarbpoint/relay"
 )
 
@@ -21,9 +22,11 @@
 	others     float64
 	slots      int
 	reportedAt time.Time
-	cache      *prefixes
-	handoffs   failures
-	refusals   failures
+	// cache estimates what the replica has cached. Requests of other instances are not seen, so the estimate is wrong at
+	// times; it is only used to compare replicas.
+	cache    *partcache.Cache
+	handoffs failures
+	refusals failures
 }
 
 // report takes a replica's statement of its load.
