A simulator of routed deployments, and a division of stages by places

internal/simfleet plays deployments in virtual time through place.Board, pipeline.Request, retry and stages.Plan, with baselines, the product without one part each, every standing division, bounds and plots.

Cause of late answers on deployments with small batches: half of the decode replicas processed long prompts too, which delays their batches, and a plan left a third of each zone for answers whatever its batches hold. Decode replicas now process long prompts only where places are to spare, and a plan leaves six places for each prefill replica. The answerer is chosen again when the prompt is processed. The first holder of the authority ever gives orders at once.

--- a/Makefile
+++ b/Makefile
@@ -13,11 +13,14 @@
 	$(GO) generate ./...
 	$(GO) test ./internal/docgen ./daemon -run 'IsCurrent|TestDaemon' -update
 
-# Replays traces under all policies: make bench SEED=7, or make bench TRACE=file.
+# Replays traces and plays deployments under all policies: make bench SEED=7, make bench TRACE=file,
+# make bench DEPLOYMENT=file.
 SEED ?= 1
 TRACE ?=
+DEPLOYMENT ?=
 bench:
-	$(GO) run ./cmd/bench -seed $(SEED) $(if $(TRACE),-trace "$(TRACE)")
+	$(if $(DEPLOYMENT),,$(GO) run ./cmd/bench -seed $(SEED) $(if $(TRACE),-trace "$(TRACE)"))
+	$(if $(TRACE),,$(GO) run ./cmd/simulate -seed $(SEED) $(if $(DEPLOYMENT),-deployment "$(DEPLOYMENT)",-before docs/deployments-previous.json))
 
 # Fuzzes each decoder that reads from outside for FUZZTIME.
 FUZZTIME ?= 20s
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -65,16 +65,7 @@
 
 // Place implements pipeline.Exchange.
 func (x *routedExchange) Place(context.Context) (place.Placement, error) {
-	now := time.Now()
-	replicas, err := x.suspected(now, x.routing.Replicas.Of(x.service.Name))
-	if err != nil {
-		return place.Placement{}, err
-	}
-	replicas = x.server.healthy(now, replicas)
-	p, err := x.routing.Board.Choose(now, x.service, replicas, &place.Request{
-		Prompt: x.call.Prompt, Deadline: x.deadline, Target: x.route.TargetLatency, Cached: x.cacheAt,
-		Tried: x.tried, Refused: x.refused, Continues: x.begun,
-	})
+	p, err := x.choose(time.Now())
 	switch {
 	case err == nil:
 		x.placed = placed(p)
@@ -85,6 +76,17 @@
 	return p, errors.Mark(err, pipeline.ErrFinal)
 }
 
+func (x *routedExchange) choose(now time.Time) (place.Placement, error) {
+	replicas, err := x.suspected(now, x.routing.Replicas.Of(x.service.Name))
+	if err != nil {
+		return place.Placement{}, err
+	}
+	return x.routing.Board.Choose(now, x.service, x.server.healthy(now, replicas), &place.Request{
+		Prompt: x.call.Prompt, Deadline: x.deadline, Target: x.route.TargetLatency, Cached: x.cacheAt,
+		Tried: x.tried, Refused: x.refused, Continues: x.begun,
+	})
+}
+
 // Attempt implements pipeline.Exchange.
 func (x *routedExchange) Attempt(ctx context.Context, p place.Placement) error {
 	x.server.metrics.attempts.Inc(1)
@@ -95,13 +97,14 @@
 		if err := x.prefill(ctx, p); err != nil {
 			return err
 		}
+		leg.Replica = x.handOver(p)
 	}
 	uncached := p.Uncached
 	if x.cache != nil {
 		leg.Cache, uncached = x.cache, 0
 	}
 	err := x.sendWatched(ctx, leg, uncached)
-	x.judge(ctx, p.Run, err)
+	x.judge(ctx, leg.Replica, err)
 	if leg.Cache != nil && !errors.Is(err, relay.ErrNotSent) && !errors.Is(err, relay.ErrOtherInstance) {
 		x.routing.Board.HandedOver(time.Now(), x.cacheAt, !errors.Is(err, relay.ErrRefused))
 		// The replica may have fetched the cache, which can be done once, or have failed to.
@@ -110,6 +113,16 @@
 	return mark(err)
 }
 
+// handOver chooses the replica that goes on with a processed prompt. Batches have changed while the prompt was processed.
+func (x *routedExchange) handOver(p place.Placement) *upstream.Replica {
+	again, err := x.choose(time.Now())
+	if err != nil {
+		return p.Run
+	}
+	x.placed.Run = again.Run
+	return again.Run
+}
+
 // mark translates how far an attempt got into what the pipeline decides by.
 func mark(err error) error {
 	switch {
--- /dev/null
+++ b/internal/simfleet/simfleet_test.go
@@ -0,0 +1,194 @@
+package simfleet
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+)
+
+// testLength keeps plays short under the race detector.
+const testLength = 6
+
+// short returns the product's deployments, cut to the first seconds.
+func short(t *testing.T) []*Deployment {
+	list, err := Deployments()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range list {
+		d.Length = testLength
+	}
+	return list
+}
+
+// Guards against figures that differ between two plays of the same seed, and against requests that are lost or counted
+// twice.
+func TestPlaysRepeat(t *testing.T) {
+	d := short(t)[1]
+	d.Length = 3
+	asked := len(generate(d, 3))
+	for _, p := range Policies() {
+		g := gomega.NewWithT(t)
+		a, b := Run(d, p, 3), Run(d, p, 3)
+		g.Expect(a).To(gomega.Equal(b), p.Name)
+		g.Expect(a.All.Asked).To(gomega.Equal(asked), p.Name)
+		g.Expect(a.All.InTime+a.All.Late+a.All.Refused+a.All.Failed).To(gomega.Equal(asked), p.Name)
+	}
+}
+
+// Plays the first bursts of each deployment. Guards against decisions that are worse than the simplest ones, that starve a
+// kind, a zone or the largest requests, and against a division of stages that is far from the best one.
+func TestTheProductServesEachDeployment(t *testing.T) {
+	for _, d := range short(t) {
+		t.Run(d.Name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			product := Run(d, Policy{Name: Product}, 1)
+			simple := Run(d, Policy{Name: "least in flight", choose: chooseLeastInFlight, KeepStages: true}, 1)
+			t.Logf("product %.3f, least in flight %.3f", product.All.Share(), simple.All.Share())
+			g.Expect(product.All.Share()).To(gomega.BeNumerically(">", 2*simple.All.Share()))
+			served := func(tally *Tally) float64 { return float64(tally.InTime+tally.Late) / float64(tally.Asked) }
+			for name, kind := range product.Kinds {
+				g.Expect(served(kind)).To(gomega.BeNumerically(">", served(&product.All)/4), name)
+				for _, large := range product.Large[name] {
+					g.Expect(served(large)).To(gomega.BeNumerically(">", served(kind)/2), name)
+				}
+			}
+			for name, zone := range product.Zones {
+				g.Expect(served(zone)).To(gomega.BeNumerically(">", 0.8*served(&product.All)), name)
+			}
+		})
+	}
+}
+
+// Guards against orders for stages that leave a deployment worse than it was, or far from the best division. Each case is
+// another number of places in a batch.
+func TestStagesSuitTheBatches(t *testing.T) {
+	for _, d := range short(t) {
+		t.Run(d.Name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			product := Run(d, Policy{Name: Product}, 1).All.Share()
+			kept := Run(d, Policy{Name: "stages kept", KeepStages: true}, 1).All.Share()
+			best := 0.0
+			for _, p := range Divisions(d) {
+				best = max(best, Run(d, p, 1).All.Share())
+			}
+			t.Logf("product %.3f, stages kept %.3f, best division %.3f", product, kept, best)
+			g.Expect(product).To(gomega.BeNumerically(">", kept))
+			g.Expect(product).To(gomega.BeNumerically(">", 0.9*best))
+		})
+	}
+}
+
+// Guards against many instances that each know only their own requests and so decide worse than few.
+func TestManyInstancesDecideAsWellAsFew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := short(t)[1]
+	share := func(instances int) float64 {
+		for i := range d.Zones {
+			d.Zones[i].Instances = instances
+		}
+		return Run(d, Policy{Name: Product}, 1).All.Share()
+	}
+	few, many := share(1), share(20)
+	t.Logf("3 instances %.3f, 60 instances %.3f", few, many)
+	g.Expect(many).To(gomega.BeNumerically(">", 0.8*few))
+}
+
+// Guards against a bound that a play exceeds.
+func TestNoPlayExceedsTheBounds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := short(t)[1]
+	d.Length = 3
+	for seed := range uint64(5) {
+		b := BoundsOf(d, seed)
+		g.Expect(b.Schedule).To(gomega.BeNumerically("<=", 1+1e-9))
+		g.Expect(Run(d, Policy{Name: Product}, seed).All.Share()).To(gomega.BeNumerically("<=", b.Schedule+1e-9))
+		for _, p := range Divisions(d) {
+			g.Expect(Run(d, p, seed).All.Share()).To(gomega.BeNumerically("<=", b.Division+1e-9), p.Name)
+		}
+	}
+}
+
+// Guards against a bound below what can be done: random small loads whose best set is found by trying all sets.
+func TestServeBestIsNotBelowTheBestSet(t *testing.T) {
+	g := gomega.NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 300 {
+		const window, capacity = 10.0, 1.0
+		var items []boundItem
+		at := 0
+		for range 7 {
+			at += random.IntN(8)
+			items = append(items, boundItem{&request{arrived: time.Duration(at) * time.Millisecond, size: float64(1 + random.IntN(9))}, float64(1 + random.IntN(9))})
+		}
+		best := 0.0
+		for set := range 1 << len(items) {
+			credit, free := 0.0, 0.0
+			for i, item := range items {
+				if set>>i&1 == 0 {
+					continue
+				}
+				arrived := item.request.arrived.Seconds() * 1000
+				free = max(free, arrived) + item.work/capacity
+				if free > arrived+window+1e-9 {
+					credit = -1
+					break
+				}
+				credit += item.request.size
+			}
+			best = max(best, credit)
+		}
+		got := serveBest(items, capacity, window, func(r *request) float64 { return r.size })
+		g.Expect(got).To(gomega.BeNumerically(">=", best-1e-9))
+	}
+	one := []boundItem{{&request{size: 2}, 5}, {&request{size: 1}, 10}}
+	g.Expect(serveBest(one, 1, 10, func(r *request) float64 { return r.size })).To(gomega.BeNumerically("~", 2.5, 1e-9))
+}
+
+// Guards against deployment files that are read as something else.
+func TestBadDeployments(t *testing.T) {
+	g := gomega.NewWithT(t)
+	good, err := files.ReadFile("deployments/nine-engines.json")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, change := range [][2]string{
+		{`"length_s": 30`, `"length_s": 0`}, {`"instances": 4`, `"instances": 0`}, {`"service": "desk"`, `"service": "none"`},
+		{`"slots": 6`, `"slots": 0`}, {`"rate_per_s": 185`, `"rate_per_s": 0`}, {`"own_tokens": 140`, `"own_tokens": 0`},
+		{`"factor": 1.7`, `"factor": -1`}, {`"name": "desk"`, `"nam": "desk"`}, {`"prefill_share": 0.35`, `"prefill_share": 1`},
+		{"\n}", "\n}{}"},
+	} {
+		g.Expect(string(good)).To(gomega.ContainSubstring(change[0]))
+		_, err := Read(bytes.Replace(good, []byte(change[0]), []byte(change[1]), 1))
+		g.Expect(errors.Is(err, ErrDeployment)).To(gomega.BeTrue(), change[1])
+	}
+}
+
+// Guards against reports that cannot be compared with later ones, and against plots that are missing.
+func TestReports(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := short(t)[1]
+	d.Length = 1
+	report := RunAll([]*Deployment{d}, []Policy{{Name: Product}}, 1)
+	var file, table bytes.Buffer
+	g.Expect(report.WriteJSON(&file)).To(gomega.Succeed())
+	again, err := ReadReport(&file)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(again.Find(d.Name, Product).All).To(gomega.Equal(report.Find(d.Name, Product).All))
+	g.Expect(report.WriteTable(&table, again)).To(gomega.Succeed())
+	g.Expect(strings.Count(table.String(), "bound, any schedule")).To(gomega.Equal(1))
+	dir := t.TempDir()
+	g.Expect(report.WritePlots(dir)).To(gomega.Succeed())
+	for _, name := range []string{"in-time", "refused", "waiting"} {
+		info, err := os.Stat(filepath.Join(dir, d.Name+"-"+name+".svg"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(info.Size()).To(gomega.BeNumerically(">", 1000))
+	}
+}
--- a/place/board_test.go
+++ b/place/board_test.go
@@ -71,6 +71,30 @@
 	g.Expect(len(long) + len(short)).To(gomega.BeNumerically(">=", 4))
 }
 
+// Guards against long prompts in the batches of replicas whose places are needed for answers, where others process prompts.
+func TestPromptsLeaveThePlacesForAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now, board, list := time.Unix(0, 0), newBoard(1), engines(3, 5)
+	small := &traffic.Service{Name: "model", Engine: &traffic.Engine{Slots: 6, KVTokens: 800_000}}
+	answered := map[string]bool{}
+	for i := range uint64(300) {
+		p, err := board.Choose(now, small, list, ask(now, prompt(i, i)))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(p.Prefill).NotTo(gomega.BeNil())
+		board.Sent(p.Run, 0)
+		answered[p.Run.ID] = true
+	}
+	g.Expect(answered).To(gomega.HaveLen(5))
+
+	read := map[string]bool{}
+	for i := range uint64(300) {
+		p, err := newBoard(i).Choose(now, model, list, ask(now, prompt(i, i)))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		read[p.Run.ID] = read[p.Run.ID] || p.Prefill == nil
+	}
+	g.Expect(read).To(gomega.ContainElement(true), "large batches have places to spare")
+}
+
 // Guards against a fleet in which one kind of replica is missing: every request must still have a place.
 func TestEveryMixOfReplicasServes(t *testing.T) {
 	for _, c := range []struct{ prefill, decode int }{{0, 1}, {0, 3}, {3, 1}, {1, 2}} {
--- a/place/engine.go
+++ b/place/engine.go
@@ -48,7 +48,7 @@
 			usable = append(usable, r)
 		}
 	}
-	readers, answerers := divide(usable)
+	readers, answerers := divide(usable, service.Engine.Slots)
 	if len(usable) == 0 || len(answerers) == 0 {
 		return Placement{}, ErrNoReplica
 	}
@@ -135,26 +135,37 @@
 	return best
 }
 
-// divide divides the replicas of a service into those that process long prompts and those that run answers: replicas in
-// stage Prefill are readers, and of the others in each zone every second one, by ID, so that all instances agree. Where
-// too few are left to divide, they do both.
-func divide(replicas []*upstream.Replica) (readers, answerers []*upstream.Replica) {
+// sparePlaces is the number of places for answers that each reader needs before replicas that answer process long prompts as
+// well: about ten are taken by the prompts that it hands over, the others by running answers.
+const sparePlaces = 16
+
+// divide divides the replicas of a service into those that process long prompts and those that run answers. Replicas in
+// stage Prefill are readers. Where the others have places to spare, every second one of them in each zone is a reader as
+// well, by ID, so that all instances agree. Where none is left to read, all do both.
+func divide(replicas []*upstream.Replica, slots int) (readers, answerers []*upstream.Replica) {
+	var prefill, second, others []*upstream.Replica
 	seen := make(map[string]int)
 	for _, r := range replicas {
 		if r.Stage == upstream.Prefill {
-			readers = append(readers, r)
+			prefill = append(prefill, r)
 			continue
 		}
 		if seen[r.Zone]++; seen[r.Zone]%2 == 0 {
-			readers = append(readers, r)
+			second = append(second, r)
 		} else {
-			answerers = append(answerers, r)
+			others = append(others, r)
 		}
 	}
-	if len(readers) == 0 {
-		readers = answerers
+	spare := float64(len(others)*slots) >= sparePlaces*(float64(len(prefill))+decodePace*float64(len(second)))
+	if spare || len(prefill) == 0 {
+		prefill = append(prefill, second...)
+	} else {
+		others = append(others, second...)
+	}
+	if len(prefill) == 0 {
+		prefill = others
 	}
-	return readers, answerers
+	return prefill, others
 }
 
 func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
--- a/retry/health.go
+++ b/retry/health.go
@@ -36,9 +36,10 @@
 }
 
 // NewHealth returns a tracker that knows no failures.
-func NewHealth() *Health { return newHealth(rand.Float64) }
+func NewHealth() *Health { return NewHealthWith(rand.Float64) }
 
-func newHealth(random func() float64) *Health {
+// NewHealthWith returns a tracker with a source of random numbers in [0,1), for repeatable choices.
+func NewHealthWith(random func() float64) *Health {
 	return &Health{random: random, upstreams: make(map[string]*record)}
 }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -38,7 +38,7 @@
 // Guards against an ejection that leaves a request without a choice, whatever fails.
 func TestNeverEjectsEverything(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := newHealth(func() float64 { return 0 })
+		h := NewHealthWith(func() float64 { return 0 })
 		n := rapid.IntRange(1, 9).Draw(t, "upstreams")
 		var all []string
 		for i := range n {
@@ -59,7 +59,7 @@
 func TestSlowReturn(t *testing.T) {
 	g := gomega.NewWithT(t)
 	chance := 0.5
-	h := newHealth(func() float64 { return chance })
+	h := NewHealthWith(func() float64 { return chance })
 	start := time.Unix(0, 0)
 	for i := range ejectAfter {
 		g.Expect(h.Failed(start, "a")).To(gomega.Equal(i == ejectAfter-1))
--- a/stages/holder.go
+++ b/stages/holder.go
@@ -27,6 +27,8 @@
 	// authorityKey is created by the holder, attached to its lease. The revision of the creation is the fencing token, so
 	// getting the authority and its number is one step.
 	authorityKey = "rhubarbpoint/stages"
+	// historyKey is written by the first holder ever and stays, so that it need not wait for a former one.
+	historyKey = "rhubarbpoint/stages-held"
 )
 
 // ErrHeld means that another instance has the authority, to be tested with errors.Is.
@@ -35,7 +37,8 @@
 // Holder gets and keeps the authority to give orders. It is for one goroutine.
 //
 // Two holders never give orders in turns: the key ends with the lease, a holder stops before its lease can have ended by
-// either of its clocks, and a new one waits for settleTime. The time of day counts as well as the steady clock, because the
+// either of its clocks, and a new one waits for settleTime, unless it wrote historyKey: no holder gives orders before it
+// knows that this key exists, so there was none before. The time of day counts as well as the steady clock, because the
 // steady clock stands still while a machine is suspended; a jump of the time of day only makes a holder stop early.
 type Holder struct {
 	store topo.Store
@@ -46,6 +49,8 @@
 	acquired time.Time
 	renewed  time.Time // when the last successful renewal was sent
 	tried    time.Time // when the last renewal was sent
+	// recorded says that historyKey exists, first that this holder wrote it.
+	recorded, first bool
 }
 
 // NewHolder returns a holder without authority. The name is for operators and need not be unique.
@@ -56,7 +61,7 @@
 
 // MayOrder says whether an order may be given now.
 func (h *Holder) MayOrder(now time.Time) bool {
-	return h.fence != 0 && elapsed(h.renewed, now) < leaseTTL-leaseMargin && settled(h.acquired, now)
+	return h.fence != 0 && h.recorded && elapsed(h.renewed, now) < leaseTTL-leaseMargin && (h.first || settled(h.acquired, now))
 }
 
 // elapsed returns the longer of the times that have passed by the two clocks. It counts a time of day that went back as
@@ -101,9 +106,18 @@
 	}
 	now := time.Now()
 	h.lease, h.fence, h.acquired, h.renewed, h.tried = lease, revision, now, sent, now
+	h.record(ctx)
 	return nil
 }
 
+// record writes historyKey. After an error the write may have been executed or not, so Renew tries again, and a conflict
+// then counts as a former holder.
+func (h *Holder) record(ctx context.Context) {
+	_, err := h.store.Put(ctx, historyKey, []byte(h.name), 0, 0)
+	h.first = err == nil
+	h.recorded = err == nil || errors.Is(err, topo.ErrConflict)
+}
+
 // Renew keeps the lease if it is time to. It returns false when the authority is lost.
 func (h *Holder) Renew(ctx context.Context) bool {
 	now := time.Now()
@@ -117,6 +131,9 @@
 	h.tried = now
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if !h.recorded {
+		h.record(ctx)
+	}
 	switch err := h.store.KeepAlive(ctx, h.lease); {
 	case err == nil:
 		h.renewed = now
@@ -139,7 +156,7 @@
 	return errors.Wrap(h.store.Revoke(ctx, lease), "stages: release the authority")
 }
 
-func (h *Holder) drop() { h.lease, h.fence = 0, 0 }
+func (h *Holder) drop() { h.lease, h.fence, h.recorded, h.first = 0, 0, false, false }
 
 // campaignPause spreads the campaigns of instances that see the same need.
 func campaignPause() time.Duration { return 500*time.Millisecond + rand.N(2*time.Second) }
--- /dev/null
+++ b/stages/holder_test.go
@@ -0,0 +1,66 @@
+package stages_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/stages"
+	"rhubarbpoint/topo"
+	"rhubarbpoint/topo/memtopo"
+)
+
+// Guards against a fleet that starts with too few replicas for prompts and waits for a former holder that never was, and
+// against a later holder that does not wait.
+func TestOnlyTheFirstHolderNeedNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx := context.Background()
+		store := memtopo.New(memtopo.NoFaults{})
+		first, second := stages.NewHolder(store, "a"), stages.NewHolder(store, "b")
+		g.Expect(first.Campaign(ctx)).To(gomega.Succeed())
+		g.Expect(first.MayOrder(time.Now())).To(gomega.BeTrue())
+		g.Expect(first.Release(ctx)).To(gomega.Succeed())
+		g.Expect(first.MayOrder(time.Now())).To(gomega.BeFalse())
+		g.Expect(second.Campaign(ctx)).To(gomega.Succeed())
+		last := time.Now()
+		for !second.MayOrder(time.Now()) {
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(second.Renew(ctx)).To(gomega.BeTrue())
+			g.Expect(time.Since(last)).To(gomega.BeNumerically("<", time.Minute))
+		}
+		g.Expect(time.Since(last)).To(gomega.BeNumerically(">=", betweenHolders))
+	})
+}
+
+// Guards against orders of a holder whose record may not exist: the next one would not wait for it.
+func TestNoOrdersBeforeTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx := context.Background()
+		writes := 0
+		store := memtopo.New(memtopo.FaultFunc(func(op topo.Op, key string) memtopo.Fault {
+			if op == topo.OpPut && key != "rhubarbpoint/stages" {
+				if writes++; writes <= 6 {
+					return memtopo.Fault{Refuse: true}
+				}
+			}
+			return memtopo.Fault{}
+		}))
+		holder := stages.NewHolder(store, "a")
+		g.Expect(holder.Campaign(ctx)).To(gomega.Succeed())
+		for writes < 6 {
+			g.Expect(holder.MayOrder(time.Now())).To(gomega.BeFalse())
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(holder.Renew(ctx)).To(gomega.BeTrue())
+		}
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(holder.Renew(ctx)).To(gomega.BeTrue())
+		}
+		g.Expect(holder.MayOrder(time.Now())).To(gomega.BeTrue())
+	})
+}
--- a/stages/plan.go
+++ b/stages/plan.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	// handoverSlots is how many places of decode replicas one prefill replica keeps busy: it processes about 100 prompts a
-	// second, and each of them takes a place for some 70 ms.
-	handoverSlots = 8
-	// decodeShare is the part of a zone's replicas that are left for answers. A decode replica processes prompts at half the
-	// pace of a prefill replica, so every one beyond what the answers need costs half a replica.
+	// handoverSlots is how many places of decode replicas one prefill replica needs: it processes about 100 prompts a second,
+	// and each of them takes a place for some 100 ms. A division with fewer than scarceSlots is mended; between the two it
+	// is left alone, so that a replica that crashes and returns causes no orders.
+	handoverSlots = 6
+	scarceSlots   = 4
+	// decodeShare is the least part of a zone's replicas that is left for answers.
 	decodeShare = 1.0 / 3
 	// changingShare is the part of a service's replicas that may be away for a change at the same time.
 	changingShare = 0.25
@@ -31,10 +32,9 @@
 	Stage   upstream.Stage
 }
 
-// Plan returns the changes that bring the replicas of a service to a good division, in order of their IDs: in each zone
-// a third of the replicas, and at least one, is left or made to answer, and the other decode replicas become prefill
-// replicas. It returns none
-// for a service without prefill replicas, and none that would leave too few places for answers.
+// Plan returns the changes that bring the replicas of a service to a good division, in order of their IDs. In each zone as
+// many replicas as possible are in stage prefill, as long as the others have places for the prompts that are handed over
+// to them and are at least a third of the zone. It returns none for a service without prefill or without decode replicas.
 func Plan(service *traffic.Service, replicas []*upstream.Replica) []Change {
 	if service.Engine == nil {
 		return nil
@@ -61,19 +61,9 @@
 	}
 	var changes []Change
 	for _, z := range zones {
-		changes = append(changes, z.plan()...)
+		changes = append(changes, z.plan(service.Engine.Slots)...)
 	}
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Replica.ID, b.Replica.ID) })
-	for _, c := range changes {
-		if c.Stage == upstream.Prefill {
-			prefill, decode = prefill+1, decode-1
-		} else {
-			prefill, decode = prefill-1, decode+1
-		}
-	}
-	if decode*service.Engine.Slots < handoverSlots*prefill {
-		return nil
-	}
 	return changes
 }
 
@@ -83,19 +73,27 @@
 // zone holds the replicas of one availability zone, in order of their IDs.
 type zone struct{ prefill, decode []*upstream.Replica }
 
-// plan compares the zone with a division that depends only on the number of its replicas, so that a plan that is carried
-// out leaves nothing to do.
-func (z *zone) plan() []Change {
+// plan compares the zone with a division that depends only on the number of its replicas and their places, so that a plan
+// that is carried out leaves nothing to do.
+func (z *zone) plan(slots int) []Change {
 	replicas := len(z.prefill) + len(z.decode)
 	if replicas < 2 {
 		return nil
 	}
-	if len(z.decode) == 0 {
-		return []Change{{z.prefill[len(z.prefill)-1], upstream.Decode}}
-	}
 	var changes []Change
-	for i := int(math.Ceil(float64(replicas) * decodeShare)); i < len(z.decode); i++ {
+	least := decodeCount(replicas, slots, scarceSlots)
+	for i := len(z.prefill) - 1; i >= 0 && len(z.decode)+len(changes) < least; i-- {
+		changes = append(changes, Change{z.prefill[i], upstream.Decode})
+	}
+	for i := decodeCount(replicas, slots, handoverSlots); i < len(z.decode); i++ {
 		changes = append(changes, Change{z.decode[i], upstream.Prefill})
 	}
 	return changes
 }
+
+// decodeCount returns how many of a zone's replicas must be in stage decode, so that there are the given number of places
+// for each of the others.
+func decodeCount(replicas, slots, places int) int {
+	least := int(math.Ceil(float64(replicas) * decodeShare))
+	return max(1, least, int(math.Ceil(float64(replicas*places)/float64(slots+places))))
+}
