--- a/internal/simfleet/job.go
+++ b/internal/simfleet/job.go
@@ -14,6 +14,7 @@
 	event    func()
 	ended    func(ending)
 
+	begun    bool
 	uncached int // prompt tokens left to process
 	steps    int // steps done of the answer
 }
--- a/internal/simfleet/replica.go
+++ b/internal/simfleet/replica.go
@@ -83,10 +83,6 @@
 }
 
 func (r *replica) admit(j *job) {
-	j.uncached = 0
-	if j.source == nil {
-		j.uncached = max(1, j.request.prompt.Tokens-r.cache.Cached(j.request.prompt.Parts))
-	}
 	r.queue = append(r.queue, j)
 	if !r.stepping {
 		r.stepping = true
@@ -105,10 +101,7 @@
 	room, tokens, pairs := e.Chunk/4, 0, 0.0
 	for len(r.queue) > 0 && len(r.running) < r.service.Slots && room > 0 {
 		j := r.queue[0]
-		if j.source == nil && j.uncached == j.request.prompt.Tokens {
-			// The parts may have been cached while the job waited.
-			j.uncached = max(1, j.request.prompt.Tokens-r.cache.Cached(j.request.prompt.Parts))
-		}
+		r.begin(j)
 		take := min(room, j.uncached)
 		pairs += j.pairs(take)
 		j.uncached, room, tokens = j.uncached-take, room-take, tokens+take
@@ -164,6 +157,23 @@
 	r.step()
 }
 
+// begin notes what is to be processed of a prompt whose turn it is.
+func (r *replica) begin(j *job) {
+	if j.begun || j.source != nil {
+		return
+	}
+	j.begun = true
+	parts := j.request.prompt.Parts
+	cached := r.cache.Cached(parts)
+	j.uncached = max(1, j.request.prompt.Tokens-cached)
+	for _, part := range parts[:len(parts)-1] {
+		if cached -= part.Tokens; cached < 0 && r.sim.seen[part.ID] {
+			r.sim.result.ReadAgain += int64(part.Tokens)
+		}
+		r.sim.seen[part.ID] = true
+	}
+}
+
 // stepPrompts processes one piece of the oldest prompt.
 func (r *replica) stepPrompts() {
 	r.dropLate()
@@ -172,9 +182,7 @@
 		return
 	}
 	j := r.queue[0]
-	if j.uncached == j.request.prompt.Tokens {
-		j.uncached = max(1, j.request.prompt.Tokens-r.cache.Cached(j.request.prompt.Parts))
-	}
+	r.begin(j)
 	take := min(r.engine().Chunk, j.uncached)
 	took := r.engine().read(take, j.pairs(take))
 	j.uncached -= take
--- a/internal/simfleet/result.go
+++ b/internal/simfleet/result.go
@@ -60,6 +60,8 @@
 	Orders       int `json:"orders"`
 	// ReadTokens are the prompt tokens that replicas processed.
 	ReadTokens int64 `json:"read_tokens"`
+	// ReadAgain are those of shared parts that some replica had processed before.
+	ReadAgain int64 `json:"read_again_tokens"`
 }
 
 func newResult(d *Deployment, policy string) *Result {
--- a/internal/simfleet/sim.go
+++ b/internal/simfleet/sim.go
@@ -41,14 +41,16 @@
 	replicas  map[string]*replica
 	instances [][]*instance // by zone
 	ordered   map[upstream.Incarnation]time.Duration
-	result    *Result
+	// seen are the shared parts that some replica has processed.
+	seen   map[uint64]bool
+	result *Result
 }
 
 // Run plays a deployment. The same arguments give the same result.
 func Run(d *Deployment, policy Policy, seed uint64) *Result {
 	s := &Sim{
 		d: d, policy: &policy, random: rand.New(rand.NewPCG(seed, 0x17)), services: services(d),
-		replicas: make(map[string]*replica), ordered: make(map[upstream.Incarnation]time.Duration),
+		replicas: make(map[string]*replica), ordered: make(map[upstream.Incarnation]time.Duration), seen: make(map[uint64]bool),
 		result: newResult(d, policy.Name),
 	}
 	s.build(seed)
--- a/internal/simfleet/table.go
+++ b/internal/simfleet/table.go
@@ -14,7 +14,7 @@
 func (r *Report) WriteTable(out io.Writer, previous *Report) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	for _, d := range r.Deployments {
-		fmt.Fprintf(table, "%s\tearned\tof bound\tbefore\tin time\tlate\trefused\tfailed\trefusals\torders\tread\t\n", d.Name)
+		fmt.Fprintf(table, "%s\tearned\tof bound\tbefore\tin time\tlate\trefused\tfailed\trefusals\torders\tread\tagain\t\n", d.Name)
 		line := func(name string, result *Result) {
 			before := "-"
 			if previous != nil {
@@ -23,8 +23,8 @@
 				}
 			}
 			t := &result.All
-			fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%s\t%s\t%d\t%d\t%.1f Mtok\t\n", name, t.Share(), t.Share()/d.Bounds.Schedule, before,
-				t.shares(), result.Refusals, result.Orders, float64(result.ReadTokens)/1e6)
+			fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%s\t%s\t%d\t%d\t%.1f Mtok\t%.1f Mtok\t\n", name, t.Share(), t.Share()/d.Bounds.Schedule, before,
+				t.shares(), result.Refusals, result.Orders, float64(result.ReadTokens)/1e6, float64(result.ReadAgain)/1e6)
 		}
 		for _, result := range d.Results {
 			line(result.Policy, result)
@@ -32,13 +32,13 @@
 		if best := d.BestDivision(); best != nil {
 			line("best in hindsight: "+best.Policy, best)
 		}
-		fmt.Fprintf(table, "bound, best division (%d prefill)\t%.3f\t%.3f\t\t\t\t\t\t\t\t\t\n", d.Bounds.Prefill, d.Bounds.Division,
+		fmt.Fprintf(table, "bound, best division (%d prefill)\t%.3f\t%.3f\t\t\t\t\t\t\t\t\t\t\n", d.Bounds.Prefill, d.Bounds.Division,
 			d.Bounds.Division/d.Bounds.Schedule)
-		fmt.Fprintf(table, "bound, any schedule\t%.3f\t%.3f\t\t\t\t\t\t\t\t\t\n", d.Bounds.Schedule, 1.0)
+		fmt.Fprintf(table, "bound, any schedule\t%.3f\t%.3f\t\t\t\t\t\t\t\t\t\t\n", d.Bounds.Schedule, 1.0)
 		if result := r.Find(d.Name, Product); result != nil {
 			result.writeKinds(table)
 		}
-		fmt.Fprintln(table, "\t\t\t\t\t\t\t\t\t\t\t")
+		fmt.Fprintln(table, "\t\t\t\t\t\t\t\t\t\t\t\t")
 	}
 	return errors.Wrap(table.Flush(), "simfleet: table")
 }
@@ -47,7 +47,7 @@
 func (r *Result) writeKinds(table io.Writer) {
 	line := func(name string, t *Tally) {
 		if t.Asked > 0 {
-			fmt.Fprintf(table, "%s\t%.3f\t\t\t%s\t\t\t\t\n", name, t.Share(), t.shares())
+			fmt.Fprintf(table, "%s\t%.3f\t\t\t%s\t\t\t\t\t\n", name, t.Share(), t.shares())
 		}
 	}
 	for _, name := range sortedKeys(r.Kinds) {
