--- a/cmd/simulate/main.go
+++ b/cmd/simulate/main.go
@@ -18,14 +18,15 @@
 	file := flag.String("deployment", "", "play this deployment instead of the product's own")
 	out := flag.String("out", "bench/out", "folder for the report and the plots")
 	before := flag.String("before", "", "report of an earlier version to compare with")
+	only := flag.String("policy", "", "play this policy only, without bounds and divisions")
 	flag.Parse()
-	if err := run(*seed, *file, *out, *before); err != nil {
+	if err := run(*seed, *file, *out, *before, *only); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(seed uint64, file, out, before string) error {
+func run(seed uint64, file, out, before, only string) error {
 	deployments, err := load(file)
 	if err != nil {
 		return err
@@ -34,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if only != "" {
+		return play(deployments, only, seed)
+	}
 	if err := os.MkdirAll(out, 0o755); err != nil {
 		return errors.Wrap(err, "simulate")
 	}
@@ -50,6 +54,22 @@
 	return report.WriteTable(os.Stdout, previous)
 }
 
+// play prints one line for each deployment.
+func play(deployments []*simfleet.Deployment, name string, seed uint64) error {
+	for _, p := range simfleet.Policies() {
+		if p.Name != name {
+			continue
+		}
+		for _, d := range deployments {
+			r := simfleet.Run(d, p, seed)
+			fmt.Printf("%s: earned %.3f, in time %d, late %d, refused %d, failed %d, read %.1f Mtok, again %.1f Mtok\n", d.Name, r.All.Share(),
+				r.All.InTime, r.All.Late, r.All.Refused, r.All.Failed, float64(r.ReadTokens)/1e6, float64(r.ReadAgain)/1e6)
+		}
+		return nil
+	}
+	return errors.Newf("simulate: no policy %q", name)
+}
+
 func write(file string, report *simfleet.Report) error {
 	f, err := os.Create(file)
 	if err != nil {
