A fault soak against real processes, and what it found

internal/soak plays seeded, overlapping faults against entry instances, the store's stand-in and replicas on loopback, through a proxy of our own, and checks at most once, true refusals, whole and own answers, drain, routes, one holder and recovery.

Not of the product: SIGTERM before the program has begun, and a port taken by another fleet; the soak waits for a listening process, and a fleet holds a block of ports.

Also: an answer to HEAD on a routed request keeps the replica's Content-Length; the memory store can forget its history.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Two commands for newcomers: make demo and make test.
 GO ?= go
 
-.PHONY: build demo test generate bench bench-capacity fuzz clean
+.PHONY: build demo test generate bench bench-capacity fuzz soak clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -30,6 +30,11 @@
 	$(GO) test ./engine/httpengine -run xxx -fuzz FuzzFrames -fuzztime $(FUZZTIME)
 	$(GO) test ./peer -run xxx -fuzz FuzzReadFrame -fuzztime $(FUZZTIME)
 
+# Plays faults against real processes: make soak SEED=n, or make soak MINUTES=m from that seed on.
+MINUTES ?=
+soak: build
+	./bin/soak -seed $(SEED) $(if $(MINUTES),-minutes $(MINUTES))
+
 clean:
 	rm -rf bin bench/out
 
--- a/cmd/rhubarbpoint/serve.go
+++ b/cmd/rhubarbpoint/serve.go
@@ -19,6 +19,7 @@
 type serveCommand struct {
 	settings string
 	level    slog.Level
+	hup      chan os.Signal
 }
 
 func (*serveCommand) Name() string     { return "serve" }
@@ -33,6 +34,9 @@
 }
 
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// From the first moment, as SIGHUP ends a process that does not take it.
+	c.hup = make(chan os.Signal, 1)
+	signal.Notify(c.hup, syscall.SIGHUP)
 	s, err := settings.Load(c.settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -50,8 +54,5 @@
 
 // reload reads the settings again after SIGHUP and when the file changes.
 func (c *serveCommand) reload(ctx context.Context, apply func(*settings.Settings), failed func(error)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	settings.Watch(ctx, c.settings, hup, apply, failed)
+	settings.Watch(ctx, c.settings, c.hup, apply, failed)
 }
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,82 @@
+// Command soak plays faults against a fleet of real processes on loopback and prints what must not have happened. It exits
+// with 1 if there is any.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sort"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/internal/soak"
+)
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed of the faults; with -minutes or -seeds the first one")
+	seeds := flag.Int("seeds", 1, "number of seeds to play, one after another")
+	minutes := flag.Float64("minutes", 0, "play seeds until so many minutes have passed, in place of -seeds")
+	length := flag.Duration("length", 12*time.Second, "time of each seed in which faults begin")
+	bin := flag.String("bin", filepath.Dir(os.Args[0]), "folder of the programs")
+	flag.Parse()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	end := time.Now().Add(time.Duration(*minutes * float64(time.Minute)))
+	failed := 0
+	for n := uint64(0); ctx.Err() == nil && (*minutes > 0 && time.Now().Before(end) || *minutes == 0 && n < uint64(*seeds)); n++ {
+		ok, err := play(ctx, *bin, *seed+n, *length)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		if !ok {
+			failed++
+		}
+	}
+	if failed > 0 {
+		fmt.Printf("soak: %d seeds failed\n", failed)
+		os.Exit(1)
+	}
+}
+
+// play plays one seed and prints its outcome. The logs of a seed that failed are kept.
+func play(ctx context.Context, bin string, seed uint64, length time.Duration) (bool, error) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("rhubarbpoint-soak-%d-", seed))
+	if err != nil {
+		return false, errors.Wrap(err, "soak")
+	}
+	result, err := soak.Run(ctx, soak.Options{Bin: bin, Dir: dir, Seed: seed, Length: length})
+	if err != nil {
+		return false, err
+	}
+	c := &result.Counts
+	fmt.Printf("seed %d: %d requests, %d served, %d refused, %d broken off, %d runs, %d orders; faults:", seed, c.Sent, c.Served, c.Refused,
+		c.Broken, c.Runs, c.Orders)
+	var names []string
+	for name := range c.Faults {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Printf(" %s %d,", name, c.Faults[name])
+	}
+	fmt.Println()
+	for n, v := range result.Violations {
+		if n == 10 {
+			fmt.Printf("  and %d more\n", len(result.Violations)-n)
+			break
+		}
+		fmt.Println("  " + v)
+	}
+	if len(result.Violations) == 0 {
+		return true, errors.Wrap(os.RemoveAll(dir), "soak")
+	}
+	fmt.Println("  logs in " + dir)
+	return false, nil
+}
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -297,7 +296,13 @@
 func (x *routedExchange) deliver(a *wholeAnswer) {
 	x.copyHeader(a.header)
 	x.first = time.Now()
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if x.call.Method == http.MethodHead {
+		if length, found := a.header["Content-Length"]; found {
+			x.w.Header()["Content-Length"] = length
+		}
+		x.w.WriteHeader(a.status)
+		return
+	}
 	writeWhole(x.w, a.status, a.body)
 }
 
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -106,10 +106,12 @@
 	took   time.Duration
 }
 
-func (s *site) call(path string, fields ...string) *got {
+func (s *site) call(path string, fields ...string) *got { return s.send(http.MethodPost, path, fields...) }
+
+func (s *site) send(method, path string, fields ...string) *got {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+entryAddr+path, strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+entryAddr+path, strings.NewReader("body"))
 	s.Expect(err).NotTo(gomega.HaveOccurred())
 	req.Host = "h"
 	req.Header.Set(platform.HeaderRequestID, strconv.FormatInt(s.next.Add(1), 10))
@@ -175,6 +177,23 @@
 	})
 }
 
+// Guards against an answer to HEAD that says nothing of the length that the replica stated, or states one of its own.
+func TestAnAnswerToHeadKeepsItsLength(t *testing.T) {
+	inSite(t, func(s *site) {
+		s.replica("plain", upstream.Whole, func(w http.ResponseWriter, r *http.Request) {
+			if r.RequestURI == "/look/known" {
+				w.Header().Set("Content-Length", "1234")
+			}
+			w.WriteHeader(http.StatusOK)
+		})
+		for path, want := range map[string]string{"/look/known": "1234", "/look/unknown": ""} {
+			g := s.send(http.MethodHead, path)
+			s.Expect(g.err).NotTo(gomega.HaveOccurred())
+			s.Expect([]any{g.status, g.header.Get("Content-Length")}).To(gomega.Equal([]any{http.StatusOK, want}))
+		}
+	})
+}
+
 // Guards against an error of this instance that bears a replica's signature, and against a 503 for a request that ran.
 func TestAFailureAfterTheSendIsNoRefusal(t *testing.T) {
 	for _, path := range []string{"/order/1", "/grade/1"} {
--- /dev/null
+++ b/internal/faultproxy/link_test.go
@@ -0,0 +1,87 @@
+package faultproxy_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/internal/faultproxy"
+)
+
+// echo starts a server that answers each line with itself.
+func echo(g *gomega.WithT, t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for lines := bufio.NewScanner(c); lines.Scan(); {
+					fmt.Fprintln(c, lines.Text())
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a proxy whose faults are not those that a soak believes to play.
+func TestFaults(t *testing.T) {
+	g := gomega.NewWithT(t)
+	link, err := faultproxy.New(echo(g, t))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(link.Close)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", link.Address())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	ask := func(c net.Conn, wait time.Duration) (string, error) {
+		c.SetDeadline(time.Now().Add(wait))
+		fmt.Fprintln(c, "x")
+		return bufio.NewReader(c).ReadString('\n')
+	}
+	const soon, long = 300 * time.Millisecond, 10 * time.Second
+	c := dial()
+	g.Expect(ask(c, long)).To(gomega.Equal("x\n"))
+
+	for _, held := range []faultproxy.Fault{{HoldTo: true}, {HoldFrom: true}} {
+		link.Set(held)
+		_, err = ask(c, soon)
+		g.Expect(err).To(gomega.HaveOccurred())
+		link.Set(faultproxy.Fault{})
+		c.SetDeadline(time.Now().Add(long))
+		g.Expect(bufio.NewReader(c).ReadString('\n')).To(gomega.Equal("x\n"), "nothing is lost")
+	}
+
+	link.Set(faultproxy.Fault{Delay: soon})
+	began := time.Now()
+	g.Expect(ask(c, long)).To(gomega.Equal("x\n"))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", 2*soon))
+	link.Set(faultproxy.Fault{})
+
+	link.Silence()
+	_, err = ask(c, soon)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(err.(net.Error).Timeout()).To(gomega.BeTrue(), "silent, not ended")
+	c = dial()
+	g.Expect(ask(c, long)).To(gomega.Equal("x\n"))
+
+	link.Reset()
+	_, err = ask(c, long)
+	g.Expect(err).To(gomega.HaveOccurred())
+
+	link.Set(faultproxy.Fault{Refuse: true})
+	_, err = ask(dial(), long)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,7 +41,11 @@
 // Start starts all processes and waits until every entry instance is ready, see also Options.RoutesFromPlatform. The caller must call Stop, also after an
 // error, unless the fleet is nil.
 func Start(ctx context.Context, opts Options) (*Fleet, error) {
-	f := &Fleet{opts: opts, ports: newPorts(), http: &http.Client{Timeout: 2 * time.Second}}
+	ports, err := newPorts()
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{opts: opts, ports: ports, http: &http.Client{Timeout: 2 * time.Second}}
 	steps := []func(context.Context) error{f.startPlatform, f.startUpstreams, f.startEntries, f.applyDocument, f.waitReady}
 	if opts.RoutesFromPlatform {
 		steps = []func(context.Context) error{f.startPlatform, f.startEntries}
@@ -70,6 +74,7 @@
 	for _, log := range f.logs {
 		log.Close()
 	}
+	f.ports.close()
 }
 
 func (f *Fleet) start(id, program string, args ...string) (*Process, error) {
@@ -173,10 +178,19 @@
 		s.Routes = settings.RoutesFromPlatform
 		s.Zones = []settings.Zone{{Name: ZoneName(n.Region), Region: n.Region}}
 	}
+	var err error
+	if s.Platform, err = f.link(n, f.Platform.ID, s.Platform); err != nil {
+		return err
+	}
 	for _, other := range f.Entries {
-		if other != n {
-			s.Peers = append(s.Peers, other.Peer)
+		if other == n {
+			continue
+		}
+		peer, err := f.link(n, other.ID, other.Peer)
+		if err != nil {
+			return err
 		}
+		s.Peers = append(s.Peers, peer)
 	}
 	data, err := json.MarshalIndent(&s, "", "  ")
 	if err != nil {
@@ -190,6 +204,13 @@
 	return err
 }
 
+func (f *Fleet) link(from *Node, to, address string) (string, error) {
+	if f.opts.Link == nil {
+		return address, nil
+	}
+	return f.opts.Link(from.ID, to, address)
+}
+
 func (f *Fleet) waitListening(addr string) error {
 	return f.poll(func() bool {
 		resp, err := f.http.Get("http://" + addr + "/")
@@ -210,6 +231,9 @@
 	return nil
 }
 
+// WaitListening waits until an entry instance answers its operators.
+func (f *Fleet) WaitListening(n *Node) error { return f.waitListening(n.Operator) }
+
 // WaitReady waits until an entry instance reports that it is ready.
 func (f *Fleet) WaitReady(n *Node) error {
 	return f.poll(func() bool { return f.Ready(n) }, n.ID+" is not ready")
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -22,6 +22,9 @@
 	// RoutesFromPlatform makes the entry instances take routes and replicas from the platform's store, where the caller
 	// puts them. No engines and services are started then, and Start does not wait until the instances are ready.
 	RoutesFromPlatform bool
+	// Link returns the address at which an entry instance finds the platform or a peer, in place of its own address. It is
+	// called at each start of an instance; nil means the address itself.
+	Link func(from, to, address string) (string, error)
 	// AutomaticRoles lets the system change the roles of engines.
 	AutomaticRoles bool
 }
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -12,20 +12,33 @@
 const (
 	firstPort = 12000
 	lastPort  = 32000
+	// blockPorts is the number of ports of a fleet.
+	blockPorts = 100
 )
 
-// ports hands out free loopback addresses.
+// ports hands out free loopback addresses from a block. The first port of the block is held open while the fleet runs, so
+// that no other fleet takes the ports of its processes while they are down.
 type ports struct {
-	next int
+	next, end int
+	hold      net.Listener
 }
 
-func newPorts() *ports {
-	return &ports{next: firstPort + rand.IntN(lastPort-firstPort-2000)}
+func newPorts() (*ports, error) {
+	const blocks = (lastPort - firstPort) / blockPorts
+	for _, block := range rand.Perm(blocks) {
+		first := firstPort + block*blockPorts
+		if l, err := net.Listen("tcp", loopback(first)); err == nil {
+			return &ports{next: first + 1, end: first + blockPorts, hold: l}, nil
+		}
+	}
+	return nil, errors.New("fleet: no free block of ports")
 }
 
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
 func (p *ports) address() (string, error) {
-	for ; p.next < lastPort; p.next++ {
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(p.next))
+	for ; p.next < p.end; p.next++ {
+		addr := loopback(p.next)
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -36,3 +49,5 @@
 	}
 	return "", errors.New("fleet: no free port")
 }
+
+func (p *ports) close() { p.hold.Close() }
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -25,6 +25,7 @@
 // handleAdmin adds the endpoints by which tests and the demo inject faults and change the instance list:
 //
 //	PUT    /admin/faults                  sets the faults in force (Faults); {} ends all
+//	POST   /admin/forget                  drops the history of the store, so that watches must begin anew
 //	GET    /admin/calls                   counts of calls by kind (Calls)
 //	PUT    /admin/instances               registers an instance (topo.Instance)
 //	POST   /admin/instances/{id}/leaving  marks an instance as leaving
@@ -39,6 +40,10 @@
 		p.faults.set(next)
 		reply(w, next, nil)
 	})
+	mux.HandleFunc("POST /admin/forget", func(w http.ResponseWriter, _ *http.Request) {
+		p.store.Forget()
+		reply(w, struct{}{}, nil)
+	})
 	mux.HandleFunc("GET /admin/calls", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, Calls{Executed: p.store.Calls(), Limited: p.limited.all()}, nil)
 	})
--- a/topo/memtopo/store.go
+++ b/topo/memtopo/store.go
@@ -22,6 +22,7 @@
 	revision  int64
 	entries   map[string]topo.Entry
 	deleted   map[string]int64 // revision of deletion, for watches
+	forgotten int64            // watches from before this revision fail
 	leases    map[topo.LeaseID]*lease
 	nextLease topo.LeaseID
 	changed   chan struct{} // closed and replaced at each change
@@ -142,6 +143,9 @@
 		var last int64
 		var changed chan struct{}
 		err := s.do(ctx, op, prefix, func() error {
+			if after < s.forgotten {
+				return topo.ErrCompacted
+			}
 			found, last, changed = s.since(prefix, after), s.revision, s.changed
 			return nil
 		})
@@ -159,6 +163,16 @@
 	}
 }
 
+// Forget drops the history, so that watches from before now fail with topo.ErrCompacted.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.revision
+	s.deleted = make(map[string]int64)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *Store) since(prefix string, after int64) []topo.Entry {
 	var found []topo.Entry
 	for key, e := range s.entries {
--- a/topo/memtopo/store_test.go
+++ b/topo/memtopo/store_test.go
@@ -124,3 +124,18 @@
 		g.Expect(d.Instances(t.Context())).To(gomega.Equal([]topo.Instance{{ID: "a", Leaving: true}}))
 	})
 }
+
+// Guards against a watch that misses changes after the store has forgotten its history.
+func TestAForgetfulStoreSaysSo(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memtopo.New(nil)
+	first, err := s.Put(context.Background(), "a", []byte("1"), 0, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	last, err := s.Put(context.Background(), "b", []byte("1"), 0, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.Forget()
+	_, _, err = s.Watch(context.Background(), "", first, time.Millisecond)
+	g.Expect(err).To(gomega.MatchError(topo.ErrCompacted))
+	_, _, err = s.Watch(context.Background(), "", last, time.Millisecond)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
