Starting among thousands of replicas takes linear work

The registry is now sorted at its next use, and heartbeats ask for the version alone.

Also: a peer that fetches gets the present replicas, not those of the first fetch of a version; what is known of more than a thousand replicas fits a fetch; no key is made for each replica of a request while none has failed.

--- a/discovery/snapshot.go
+++ b/discovery/snapshot.go
@@ -19,6 +19,14 @@
 	Replicas map[string][]byte `json:"replicas"`
 }
 
+// Version returns the version of the routes in force, 0 before the first ones.
+func (s *Service) Version() int64 {
+	if table := s.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 // Encoded returns the version of the routes in force and what this instance knows, for Offer at a peer; 0 and nil before the
 // first routes.
 func (s *Service) Encoded() (version int64, data []byte) {
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -267,6 +267,9 @@
 
 // healthy leaves out the replicas that fail, but never more than half of them.
 func (s *Server) healthy(now time.Time, replicas []*upstream.Replica) []*upstream.Replica {
+	if s.opts.Health.Quiet() {
+		return replicas
+	}
 	keys := make([]string, len(replicas))
 	for i, r := range replicas {
 		keys[i] = r.Incarnation().String()
--- a/member/fetch.go
+++ b/member/fetch.go
@@ -15,19 +15,20 @@
 	"rhubarbpoint/topo"
 )
 
-// maxDocumentBytes is the largest document, as the store holds it.
-const maxDocumentBytes = topo.MaxValueBytes
+// maxDocumentBytes is the largest document. The store holds configurations of topo.MaxValueBytes; what an instance knows of
+// 3,000 replicas is larger.
+const maxDocumentBytes = 8 * topo.MaxValueBytes
 
-// packedDocument is the compressed document of the version last asked for. A document travels to every instance with
-// each change, 1,300 times a day, and repeats itself much.
+// packedDocument is the compressed document last asked for. A document travels to every instance with each change, 1,300
+// times a day, and repeats itself much. With routes from the platform it changes with the replicas under one version.
 type packedDocument struct {
-	version int64
-	data    []byte
+	version        int64
+	document, data []byte
 }
 
 // ConfigChanged tells the peers that a higher version is in force here. It is to be called after each change.
 func (s *Service) ConfigChanged() {
-	version, _ := s.opts.Encoded()
+	version := s.opts.Version()
 	s.mu.Lock()
 	if version <= s.own.GetConfigVersion() {
 		s.mu.Unlock()
@@ -43,7 +44,7 @@
 // compareVersion fetches the document of a peer whose version is higher. One fetch runs at a time; a version that is
 // missed meanwhile is seen again with the next heartbeat.
 func (s *Service) compareVersion(id, address string, version int64) {
-	if own, _ := s.opts.Encoded(); version <= own {
+	if version <= s.opts.Version() {
 		return
 	}
 	s.mu.Lock()
@@ -66,7 +67,7 @@
 func (s *Service) fetch(id, address string) error {
 	ctx, cancel := context.WithTimeout(s.ctx, fetchTimeout)
 	defer cancel()
-	have, _ := s.opts.Encoded()
+	have := s.opts.Version()
 	req := &peerpb.Request{Call: &peerpb.Request_FetchConfig{
 		FetchConfig: &peerpb.FetchConfig{HaveVersion: have, AcceptGzip: true},
 	}}
@@ -113,7 +114,7 @@
 	s.mu.Lock()
 	packed := s.packed
 	s.mu.Unlock()
-	if packed.version == version {
+	if packed.version == version && bytes.Equal(packed.document, document) {
 		return packed.data, nil
 	}
 	var b bytes.Buffer
@@ -126,7 +127,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.packed = packedDocument{version: version, data: b.Bytes()}
+	s.packed = packedDocument{version: version, document: document, data: b.Bytes()}
 	return b.Bytes(), nil
 }
 
--- a/member/options.go
+++ b/member/options.go
@@ -86,6 +86,9 @@
 	Document func() *config.Document
 	// Encoded returns the version in force and its encoded document, for peers; version 0 means none.
 	Encoded func() (version int64, document []byte)
+	// Version returns the version in force alone. Every heartbeat states it, and the document can be large; nil means that
+	// of Encoded.
+	Version func() int64
 	// Offer hands over a document of a higher version that a peer had.
 	Offer func(ctx context.Context, version int64, document []byte) error
 	// Planned takes the time until which an upstream gets no new work because of a planned change; it may be nil.
@@ -103,6 +106,13 @@
 	if o.Encoded == nil {
 		o.Encoded = func() (int64, []byte) { return 0, nil }
 	}
+	if o.Version == nil {
+		encoded := o.Encoded
+		o.Version = func() int64 {
+			version, _ := encoded()
+			return version
+		}
+	}
 	if o.Offer == nil {
 		o.Offer = func(context.Context, int64, []byte) error { return nil }
 	}
--- a/member/receive.go
+++ b/member/receive.go
@@ -171,7 +171,7 @@
 	}
 	answer.Beats = []uint32{beatHash(s.opts.ID) | s.own.GetBeat()&0xff}
 	s.mu.Unlock()
-	answer.ConfigVersion, _ = s.opts.Encoded()
+	answer.ConfigVersion = s.opts.Version()
 	return &peerpb.Response{Result: &peerpb.Response_Records{Records: answer}}, nil
 }
 
--- a/member/send.go
+++ b/member/send.go
@@ -47,7 +47,7 @@
 
 // heartbeat sends what the peer lacks, unless the last heartbeat to it is still under way.
 func (s *Service) heartbeat(ctx context.Context, id string) {
-	version, _ := s.opts.Encoded()
+	version := s.opts.Version()
 	s.mu.Lock()
 	state := s.peers[id]
 	if state == nil {
@@ -250,7 +250,7 @@
 	batch := s.snapshot()
 	s.mu.Unlock()
 	batch.Sync = true
-	batch.ConfigVersion, _ = s.opts.Encoded()
+	batch.ConfigVersion = s.opts.Version()
 	call, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	s.stats.syncs.Inc(1)
@@ -273,7 +273,7 @@
 }
 
 func (s *Service) pushAll(ctx context.Context, r *peerpb.Records, except string, wait bool) {
-	r.ConfigVersion, _ = s.opts.Encoded()
+	r.ConfigVersion = s.opts.Version()
 	s.mu.Lock()
 	targets := make(map[string]bool)
 	for _, id := range s.ring() {
--- a/member/service.go
+++ b/member/service.go
@@ -59,10 +59,9 @@
 		bases: make(map[uint32]string),
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
-	version, _ := opts.Encoded()
 	s.own = &peerpb.Member{
 		Id: opts.ID, Seq: 1, Beat: 1, Region: opts.Region, Zone: opts.Zone, PeerAddress: opts.PeerAddress,
-		OperatorAddress: opts.OperatorAddress, ConfigVersion: version,
+		OperatorAddress: opts.OperatorAddress, ConfigVersion: opts.Version(),
 	}
 	s.setOwn(time.Now())
 	return s
--- a/retry/health.go
+++ b/retry/health.go
@@ -77,6 +77,13 @@
 	return true
 }
 
+// Quiet says that no upstream has failed lately, so that none is excluded.
+func (h *Health) Quiet() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.upstreams) == 0
+}
+
 // Excluded returns which of the candidates a request should not choose: those that are ejected, and, by chance, those
 // that return from an ejection. It never excludes more than half of the candidates, so one is always left.
 func (h *Health) Excluded(now time.Time, candidates []string) map[string]bool {
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -14,7 +14,9 @@
 type Registry struct {
 	mu       sync.Mutex
 	replicas map[string]*member
-	services map[string][]*Replica // rebuilt after each change; the slices are never modified
+	services map[string][]*Replica // the slices are never modified
+	// stale says that services must be rebuilt before its next use. Changes come by thousands when an instance starts.
+	stale    bool
 	departed map[Incarnation]time.Time
 }
 
@@ -43,7 +45,7 @@
 		return false
 	}
 	r.replicas[replica.ID] = &member{replica: &replica}
-	r.rebuild()
+	r.stale = true
 	return true
 }
 
@@ -55,7 +57,7 @@
 		return false
 	}
 	delete(r.replicas, id)
-	r.rebuild()
+	r.stale = true
 	return true
 }
 
@@ -81,7 +83,7 @@
 		}
 	}
 	if len(dropped) > 0 {
-		r.rebuild()
+		r.stale = true
 	}
 	slices.Sort(dropped)
 	return dropped
@@ -96,7 +98,7 @@
 		return false
 	}
 	r.departed[start] = now
-	r.rebuild()
+	r.stale = true
 	return true
 }
 
@@ -121,6 +123,9 @@
 func (r *Registry) Of(service string) []*Replica {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stale {
+		r.rebuild()
+	}
 	return r.services[service]
 }
 
@@ -149,6 +154,7 @@
 }
 
 func (r *Registry) rebuild() {
+	r.stale = false
 	r.services = make(map[string][]*Replica)
 	for _, m := range r.replicas {
 		if _, left := r.departed[m.replica.Incarnation()]; left || m.replica.Draining {
