--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,7 +78,8 @@
 }
 
 func (f *Fleet) start(id, program string, args ...string) (*Process, error) {
-	log, err := os.Create(filepath.Join(f.opts.Dir, id+".log"))
+	// A process that starts again goes on with the log of the one before.
+	log, err := os.OpenFile(filepath.Join(f.opts.Dir, id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, errors.Wrap(err, "fleet: log file")
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -125,7 +125,7 @@
 func (s *site) startCallers(to *instance) {
 	for _, kind := range []string{pathOrder, pathLook, pathChat, pathGrade} {
 		for n := range callersEach {
-			c := &caller{site: s, to: to, kind: kind, name: fmt.Sprintf("%s-%s-%d", kind, to.node.ID, n)}
+			c := &caller{site: s, to: to, kind: kind, name: fmt.Sprintf("%s-%s-%s-%d", s.name, kind, to.node.ID, n)}
 			s.load.Go(func() { c.run(s.stop) })
 		}
 	}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -126,7 +126,7 @@
 	return s.replicas[random.IntN(len(s.replicas))]
 }
 
-// loseStages puts model replicas back into the stage of their start, as a start anew does.
+// loseStages puts model replicas back into the stage of their start, as a start anew under the same ID does.
 func (s *site) loseStages() {
 	s.mu.Lock()
 	list := append([]*replica{}, s.replicas...)
@@ -136,7 +136,7 @@
 		r.mu.Lock()
 		changed := r.entry.Stage == upstream.Prefill && !r.busy && kept
 		if kept = kept || r.entry.Stage == upstream.Prefill; changed {
-			r.entry.Stage = upstream.Decode
+			r.entry.Stage, r.entry.Born, r.sequence = upstream.Decode, time.Now().UnixMilli(), 0
 		}
 		r.mu.Unlock()
 		if changed {
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -105,6 +105,10 @@
 	id, stage, wrong := r.entry.ID, r.entry.Stage, r.wrong
 	away := r.busy
 	r.mu.Unlock()
+	if expected := req.Header.Get(platform.HeaderExpect); expected != "" && expected != id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	request := req.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, request)
 	w.Header().Set(platform.HeaderSignature, id)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"rhubarbpoint/internal/faultproxy"
 	"rhubarbpoint/internal/fleet"
 	"rhubarbpoint/platform"
@@ -23,6 +26,8 @@
 
 // site is a fleet with its store, replicas, callers and links.
 type site struct {
+	// name tells the requests and replicas of this site from those of others on the machine, which may take over a port.
+	name      string
 	fleet     *fleet.Fleet
 	ledger    *ledger
 	operator  *operator
@@ -40,7 +45,7 @@
 
 // openSite starts all processes and waits until they serve.
 func openSite(ctx context.Context, bin, dir string) (*site, error) {
-	s := &site{ledger: newLedger(), stop: make(chan struct{})}
+	s := &site{name: uuid.NewString()[:8], ledger: newLedger(), stop: make(chan struct{})}
 	byID := make(map[string]*instance)
 	opts := fleet.Options{
 		Bin: bin, Dir: dir, Regions: 1, EntriesPerRegion: instances, RoutesFromPlatform: true, DrainDelay: time.Second,
@@ -113,7 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.started++
-	r, err := s.startReplica("i-"+string(rune('a'+s.started%26))+string(rune('a'+s.started/26)), service, stage)
+	r, err := s.startReplica(fmt.Sprintf("i-%s-%d", s.name, s.started), service, stage)
 	if err == nil {
 		s.replicas = append(s.replicas, r)
 	}
