--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -30,12 +31,7 @@
 		s.anyInstance(random).restart((*instance).stopInOrder, length/4)
 	}},
 	{"instance paused", func(s *site, random *rand.Rand, length time.Duration) {
-		s.anyInstance(random).alone(func(i *instance) {
-			i.pausedUntil(time.Now().Add(length))
-			i.node.Pause()
-			time.Sleep(length)
-			i.node.Resume()
-		})
+		s.anyInstance(random).pauseFor(length)
 	}},
 	{"settings read again", func(s *site, random *rand.Rand, _ time.Duration) {
 		s.anyInstance(random).alone(func(i *instance) { i.node.Signal(syscall.SIGHUP) })
@@ -73,7 +69,13 @@
 		r.link.Set(faultproxy.Fault{})
 	}},
 	{"replica links reset", func(s *site, random *rand.Rand, _ time.Duration) { s.anyReplica(random).link.Reset() }},
-	{"authority cut off", func(s *site, random *rand.Rand, _ time.Duration) { s.cutHolder(random) }},
+	{"authority cut off", authority(func(i *instance) {
+		link := i.linkTo(i.site.fleet.Platform.ID)
+		link.Set(faultproxy.Fault{HoldTo: true, HoldFrom: true, Refuse: true})
+		time.Sleep(authorityTime)
+		link.Set(faultproxy.Fault{})
+	})},
+	{"authority paused", authority(func(i *instance) { i.pauseFor(authorityTime) })},
 	{"stages lost", func(s *site, _ *rand.Rand, _ time.Duration) { s.loseStages() }},
 	{"routes change", func(s *site, random *rand.Rand, _ time.Duration) { s.changeRoutes(1 + random.Int64N(4)) }},
 	{"routes change quickly", func(s *site, random *rand.Rand, length time.Duration) {
@@ -145,23 +147,25 @@
 	}
 }
 
-// cutHolder cuts the instance that gave the last order from the store for longer than its authority lasts, while there are
-// orders to give.
-func (s *site) cutHolder(random *rand.Rand) {
-	holder := s.anyInstance(random)
-	if name := s.ledger.lastHolder(); name != "" {
-		for _, i := range s.instances {
-			if i.node.ID == name {
-				holder = i
+// authority stops the instance that gave the last order for longer than its authority lasts, while there are orders to
+// give until a while after it is back.
+func authority(stop func(*instance)) func(*site, *rand.Rand, time.Duration) {
+	return func(s *site, random *rand.Rand, _ time.Duration) {
+		holder := s.anyInstance(random)
+		if name := s.ledger.lastHolder(); name != "" {
+			for _, i := range s.instances {
+				if i.node.ID == name {
+					holder = i
+				}
 			}
 		}
+		var stopped sync.WaitGroup
+		stopped.Go(func() { stop(holder) })
+		for end := time.Now().Add(authorityTime + longestFault); time.Now().Before(end); time.Sleep(shortestFault) {
+			s.loseStages()
+		}
+		stopped.Wait()
 	}
-	link := holder.linkTo(s.fleet.Platform.ID)
-	link.Set(faultproxy.Fault{HoldTo: true, HoldFrom: true, Refuse: true})
-	for end := time.Now().Add(authorityTime); time.Now().Before(end); time.Sleep(shortestFault) {
-		s.loseStages()
-	}
-	link.Set(faultproxy.Fault{})
 }
 
 // admin tells the store's stand-in to misbehave.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -16,6 +16,16 @@
 	run(i)
 }
 
+// pauseFor stops the process from running for a time.
+func (i *instance) pauseFor(length time.Duration) {
+	i.alone(func(i *instance) {
+		i.pausedUntil(time.Now().Add(length))
+		i.node.Pause()
+		time.Sleep(length)
+		i.node.Resume()
+	})
+}
+
 // current identifies the process.
 func (i *instance) current() *fleet.Process {
 	i.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -48,7 +48,6 @@
 	if err != nil {
 		return nil, err
 	}
-	s.ctx = ctx
 	watching := make(chan struct{})
 	var watchers sync.WaitGroup
 	for _, i := range s.instances {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -35,7 +35,8 @@
 	stop      chan struct{}
 	load      sync.WaitGroup
 	cancel    context.CancelFunc
-	ctx       context.Context
+	// ctx is that of the whole soak.
+	ctx context.Context
 
 	mu       sync.Mutex
 	replicas []*replica
@@ -45,7 +46,7 @@
 
 // openSite starts all processes and waits until they serve.
 func openSite(ctx context.Context, bin, dir string) (*site, error) {
-	s := &site{name: uuid.NewString()[:8], ledger: newLedger(), stop: make(chan struct{})}
+	s := &site{ctx: ctx, name: uuid.NewString()[:8], ledger: newLedger(), stop: make(chan struct{})}
 	byID := make(map[string]*instance)
 	opts := fleet.Options{
 		Bin: bin, Dir: dir, Regions: 1, EntriesPerRegion: instances, RoutesFromPlatform: true, DrainDelay: time.Second,
