--- a/daemon/routed_peers.go
+++ b/daemon/routed_peers.go
@@ -41,7 +41,7 @@
 		ID: id, Region: s.Region, Zone: s.Zone, PeerAddress: s.PeerListen, OperatorAddress: s.OperatorListen, Seeds: s.Peers,
 		Transport: p.transport, Sink: leavingSink{replicas}, Logger: logger, Metrics: registry,
 		Encoded: d.Encoded, Version: d.Version,
-		Offer:   func(_ context.Context, _ int64, data []byte) error { return d.Offer(time.Now(), data) },
+		Offer: func(_ context.Context, _ int64, data []byte) error { return d.Offer(time.Now(), data) },
 	})
 	p.member.Register(p.transport)
 	return p
