--- a/stages/plan.go
+++ b/stages/plan.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// handoverSlots is how many places of decode replicas one prefill replica needs: it processes about 100 prompts a second,
-	// and each of them takes a place for some 100 ms. A division with fewer than scarceSlots is mended; between the two it
+	// handoverSlots is how many places of decode replicas one prefill replica needs: it processes some 60 prompts of 4,000
+	// tokens a second, and each of them takes a place for some 100 ms. A division with fewer than scarceSlots is mended; between the two it
 	// is left alone, so that a replica that crashes and returns causes no orders.
 	handoverSlots = 6
 	scarceSlots   = 4
@@ -92,8 +92,8 @@
 }
 
 // decodeCount returns how many of a zone's replicas must be in stage decode, so that there are the given number of places
-// for each of the others.
+// for each of the others. One replica is left for prompts in any case.
 func decodeCount(replicas, slots, places int) int {
 	least := int(math.Ceil(float64(replicas) * decodeShare))
-	return max(1, least, int(math.Ceil(float64(replicas*places)/float64(slots+places))))
+	return min(replicas-1, max(1, least, int(math.Ceil(float64(replicas*places)/float64(slots+places)))))
 }
--- a/stages/plan_test.go
+++ b/stages/plan_test.go
@@ -42,6 +42,7 @@
 		{"one replica in a zone", 128, map[string]string{"a": "p", "b": "d"}, ""},
 		{"few places", 6, map[string]string{"a": "ppddd"}, ""},
 		{"fewest places for answers", 6, map[string]string{"a": "ppppppdd"}, "a4:decode a5:decode"},
+		{"the last prefill replica stays", 2, map[string]string{"a": "pd", "b": "ppd"}, "b1:decode"},
 		{"small batches", 6, map[string]string{"a": "ppdddddd"}, "a6:prefill a7:prefill"},
 		{"middle batches", 24, map[string]string{"a": "ppdddddd"}, "a5:prefill a6:prefill a7:prefill"},
 		{"no prefill", 128, map[string]string{"a": "ddd"}, ""},
