One filter by health for requests and the simulator, one build of programs for tests on processes

From reading the change once more: the simulator had its own copy of the filter that leaves out failing replicas, and of a conversion; two packages had their own TestMain that builds the programs. No change of behaviour.

--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return place.Placement{}, err
 	}
-	return x.routing.Board.Choose(now, x.service, x.server.healthy(now, replicas), &place.Request{
+	return x.routing.Board.Choose(now, x.service, x.healthy(now, replicas), &place.Request{
 		Prompt: x.call.Prompt, Deadline: x.deadline, Target: x.route.TargetLatency, Cached: x.cacheAt,
 		Tried: x.tried, Refused: x.refused, Continues: x.begun,
 	})
@@ -234,7 +234,7 @@
 	}
 	switch {
 	case err == nil:
-		x.server.opts.Health.Succeeded(time.Now(), start.String())
+		x.server.opts.Health.Succeeded(time.Now(), upstream.Key(replica))
 		return
 	case errors.Is(err, errUnwell):
 		// Some requests fail on healthy replicas, so one failure says nothing about the replica.
@@ -250,7 +250,7 @@
 		return
 	}
 	x.tried = with(x.tried, start)
-	if x.server.opts.Health.Failed(time.Now(), start.String()) {
+	if x.server.opts.Health.Failed(time.Now(), upstream.Key(replica)) {
 		eventUpstreamEjected.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID))
 	}
 }
@@ -266,25 +266,8 @@
 }
 
 // healthy leaves out the replicas that fail, but never more than half of them.
-func (s *Server) healthy(now time.Time, replicas []*upstream.Replica) []*upstream.Replica {
-	if s.opts.Health.Quiet() {
-		return replicas
-	}
-	keys := make([]string, len(replicas))
-	for i, r := range replicas {
-		keys[i] = r.Incarnation().String()
-	}
-	excluded := s.opts.Health.Excluded(now, keys)
-	if len(excluded) == 0 {
-		return replicas
-	}
-	left := make([]*upstream.Replica, 0, len(replicas))
-	for i, r := range replicas {
-		if !excluded[keys[i]] {
-			left = append(left, r)
-		}
-	}
-	return left
+func (x *routedExchange) healthy(now time.Time, replicas []*upstream.Replica) []*upstream.Replica {
+	return retry.Healthy(x.server.opts.Health, now, replicas, upstream.Key)
 }
 
 func with(set map[upstream.Incarnation]bool, start upstream.Incarnation) map[upstream.Incarnation]bool {
--- a/internal/fleet/main_test.go
+++ b/internal/fleet/main_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -12,26 +10,17 @@
 	"github.com/onsi/gomega"
 
 	"rhubarbpoint/internal/fleet"
+	"rhubarbpoint/internal/fleet/fleetbin"
 )
 
 var bin string
 
 // TestMain builds the programs that the tests run as separate processes.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "rhubarbpoint-bin-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	bin = dir
-	build := exec.Command("go", "build", "-o", dir, "rhubarbpoint/cmd/rhubarbpoint", "rhubarbpoint/cmd/standin")
-	build.Stderr = os.Stderr
-	status := 1
-	if err := build.Run(); err == nil {
-		status = m.Run()
-	}
-	os.RemoveAll(dir)
-	os.Exit(status)
+	os.Exit(fleetbin.Main(func(built string) int {
+		bin = built
+		return m.Run()
+	}))
 }
 
 // start runs a fleet of one region with three instances, three engines and one order service.
--- a/internal/simfleet/deployment.go
+++ b/internal/simfleet/deployment.go
@@ -1,6 +1,10 @@
 package simfleet
 
-import "time"
+import (
+	"time"
+
+	"rhubarbpoint/internal/simclock"
+)
 
 // Deployment describes what is played. Its JSON form is documented in docs/deployments.md.
 type Deployment struct {
@@ -130,8 +134,6 @@
 	Factor float64 `json:"factor,omitempty"`
 }
 
-func (d *Deployment) length() time.Duration { return seconds(d.Length) }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func (d *Deployment) length() time.Duration { return simclock.Seconds(d.Length) }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/simfleet/exchange.go
+++ b/internal/simfleet/exchange.go
@@ -189,13 +189,13 @@
 	i.board.Refused(now, known, how == notRun)
 	switch how {
 	case done:
-		i.health.Succeeded(now, start.String())
+		i.health.Succeeded(now, upstream.Key(known))
 	case notRun:
 		x.tried[start] = true
 		i.sim.result.SendsRefused++
 	case broken:
 		x.tried[start] = true
-		i.health.Failed(now, start.String())
+		i.health.Failed(now, upstream.Key(known))
 	}
 }
 
--- a/internal/simfleet/generate.go
+++ b/internal/simfleet/generate.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"rhubarbpoint/internal/simclock"
 	"rhubarbpoint/relay"
 )
 
@@ -49,7 +50,7 @@
 				break
 			}
 			if g.random.Float64()*highest < d.factor(k, at) {
-				list = append(list, g.request(k, seconds(at)))
+				list = append(list, g.request(k, simclock.Seconds(at)))
 			}
 		}
 	}
--- a/internal/simfleet/instance.go
+++ b/internal/simfleet/instance.go
@@ -51,16 +51,5 @@
 
 // healthy leaves out the replicas that fail.
 func (i *instance) healthy(replicas []*upstream.Replica) []*upstream.Replica {
-	keys := make([]string, len(replicas))
-	for n, r := range replicas {
-		keys[n] = r.Incarnation().String()
-	}
-	excluded := i.health.Excluded(i.sim.Time(), keys)
-	var left []*upstream.Replica
-	for n, r := range replicas {
-		if !excluded[keys[n]] {
-			left = append(left, r)
-		}
-	}
-	return left
+	return retry.Healthy(i.health, i.sim.Time(), replicas, upstream.Key)
 }
--- a/internal/simfleet/sim.go
+++ b/internal/simfleet/sim.go
@@ -184,7 +184,7 @@
 	}
 	s.random.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
 	hit := all[:max(1, int(f.Share*float64(len(all))))]
-	s.After(lead+seconds(f.At), func() {
+	s.After(lead+simclock.Seconds(f.At), func() {
 		for _, r := range hit {
 			if f.What == Slow {
 				r.slow = r.usual * f.Factor
@@ -194,7 +194,7 @@
 		}
 		s.After(discoveryLag, s.publish)
 	})
-	s.After(lead+seconds(f.At+f.For), func() {
+	s.After(lead+simclock.Seconds(f.At+f.For), func() {
 		for _, r := range hit {
 			r.slow = r.usual
 			if !r.up {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/exec"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"rhubarbpoint/internal/fleet/fleetbin"
 	"rhubarbpoint/internal/soak"
 )
 
@@ -17,20 +16,10 @@
 
 // TestMain builds the programs that the soak runs as separate processes.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "rhubarbpoint-bin-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	bin = dir
-	build := exec.Command("go", "build", "-o", dir, "rhubarbpoint/cmd/rhubarbpoint", "rhubarbpoint/cmd/standin")
-	build.Stderr = os.Stderr
-	status := 1
-	if err := build.Run(); err == nil {
-		status = m.Run()
-	}
-	os.RemoveAll(dir)
-	os.Exit(status)
+	os.Exit(fleetbin.Main(func(built string) int {
+		bin = built
+		return m.Run()
+	}))
 }
 
 // Plays the faults of one seed for a short time against real processes. Guards against requests that run twice or after a
--- a/place/plain.go
+++ b/place/plain.go
@@ -53,7 +53,7 @@
 // placement completes a choice, or refuses it. A request that would wait so long that it misses its target would make all
 // behind it miss theirs, so a queue stays as short as the targets allow and the rest is told to come back.
 func (b *Board) placement(now time.Time, p *Placement, firstMs float64, req *Request) (Placement, error) {
-	p.First = time.Duration(firstMs * float64(time.Millisecond))
+	p.First = milliseconds(firstMs)
 	lead := p.Run
 	if p.Prefill != nil {
 		lead = p.Prefill
--- a/retry/health.go
+++ b/retry/health.go
@@ -77,8 +77,8 @@
 	return true
 }
 
-// Quiet says that no upstream has failed lately, so that none is excluded.
-func (h *Health) Quiet() bool {
+// quiet says that no upstream has failed lately, so that none is excluded.
+func (h *Health) quiet() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.upstreams) == 0
@@ -103,6 +103,29 @@
 	return excluded
 }
 
+// Healthy leaves out the candidates that a request should not choose, as Excluded says of their keys. It returns the list
+// itself when there are none, and makes no keys while no upstream has failed lately.
+func Healthy[T any](h *Health, now time.Time, candidates []T, key func(T) string) []T {
+	if h.quiet() {
+		return candidates
+	}
+	keys := make([]string, len(candidates))
+	for i, c := range candidates {
+		keys[i] = key(c)
+	}
+	excluded := h.Excluded(now, keys)
+	if len(excluded) == 0 {
+		return candidates
+	}
+	left := make([]T, 0, len(candidates))
+	for i, c := range candidates {
+		if !excluded[keys[i]] {
+			left = append(left, c)
+		}
+	}
+	return left
+}
+
 // Ejected returns the ejected upstreams and when each may return, for the state dump.
 func (h *Health) Ejected(now time.Time) map[string]time.Time {
 	h.mu.Lock()
--- a/upstream/replica.go
+++ b/upstream/replica.go
@@ -33,5 +33,8 @@
 // String returns the identity as a key.
 func (i Incarnation) String() string { return i.ID + "/" + strconv.FormatInt(i.Born, 10) }
 
+// Key returns the identity of a replica's start as a key.
+func Key(r *Replica) string { return r.Incarnation().String() }
+
 // Incarnation returns the identity of this start.
 func (r *Replica) Incarnation() Incarnation { return Incarnation{r.ID, r.Born} }
