--- a/engine/httpengine/client.go
+++ b/engine/httpengine/client.go
@@ -18,6 +18,8 @@
 	dialTimeout = 1 * time.Second
 	// headerTimeout equals the idle timeout of streams: an engine sends the response headers at once.
 	headerTimeout = frameIdleTimeout
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	// idleConnTimeout is short, because an idle connection can fail without notice.
 	idleConnTimeout = 5 * time.Second
 )
@@ -47,12 +49,15 @@
 		return dial(ctx, network, addr)
 	}
 	return &Client{
-		streams: &http.Transport{DialContext: bounded, ResponseHeaderTimeout: headerTimeout, DisableKeepAlives: true},
+		streams: &http.Transport{
+			DialContext: bounded, ResponseHeaderTimeout: headerTimeout, MaxResponseHeaderBytes: maxHeadBytes,
+			DisableKeepAlives: true,
+		},
 		calls: &http.Transport{
 			DialContext: bounded, ResponseHeaderTimeout: headerTimeout, IdleConnTimeout: idleConnTimeout,
-			MaxIdleConnsPerHost: 4,
+			MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes,
 		},
-		slow: &http.Transport{DialContext: bounded, DisableKeepAlives: true},
+		slow: &http.Transport{DialContext: bounded, MaxResponseHeaderBytes: maxHeadBytes, DisableKeepAlives: true},
 	}
 }
 
--- a/entry/routed_stream.go
+++ b/entry/routed_stream.go
@@ -43,6 +43,9 @@
 		case len(pending) > maxEventBytes:
 			return errors.Mark(errors.Newf("entry: event is larger than %d bytes", maxEventBytes), relay.ErrIncompleteResponse)
 		}
+		if err := ex.Buffer(cap(pending)); err != nil {
+			return err
+		}
 	}
 }
 
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -14,12 +14,20 @@
 type conn struct {
 	net.Conn
 	addr   string
-	reader *bufio.Reader
+	head   headReader
+	reader *bufio.Reader // reads through head
 	// idleUntil is when an idle connection expires. After that the replica may be about to close it.
 	idleUntil time.Time
 	reused    bool
 }
 
+// newConn returns a connection to a replica that nothing was sent on.
+func newConn(raw net.Conn, addr string) *conn {
+	c := &conn{Conn: raw, addr: addr, head: headReader{conn: raw}}
+	c.reader = bufio.NewReaderSize(&c.head, readBufferBytes)
+	return c
+}
+
 // reusable reports whether an idle connection is still open and has no unread bytes. Bytes that arrive while no
 // response is outstanding belong to no request.
 func (c *conn) reusable() bool {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -20,6 +20,17 @@
 	maxSkippedResponses = 2
 	// maxBodyBytes bounds a response body that is buffered before it is passed on.
 	maxBodyBytes = 16 << 20
+	// maxHeadBytes bounds the head of a response, together with the informational heads before it.
+	maxHeadBytes = 64 << 10
+	// maxRefusalBytes bounds the body of a refusal, which is read only to reuse the connection.
+	maxRefusalBytes = 16 << 10
+	// minBodyBuffer is the size of the first block for a body of unknown length, bodyBlockBytes that of the others.
+	minBodyBuffer  = 512
+	bodyBlockBytes = freeBufferBytes
+	// maxInformational bounds the informational (1xx) responses before a response.
+	maxInformational = 5
+	// maxHeadTime bounds the time from the first byte of a head to its end. It covers two retransmissions over TCP.
+	maxHeadTime = 3 * time.Second
 )
 
 // Exchange is one request to a replica and its response. It is not safe for concurrent use. Close must be called.
@@ -40,6 +51,7 @@
 	// closeDelimited reports whether the end of the response is marked only by the end of the connection.
 	closeDelimited bool
 	promptOnly     bool
+	memory         bodyMemory
 }
 
 // Send makes one attempt at a call and reads the header of the response. With fresh it opens a new connection. A
@@ -49,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &Exchange{pool: pool, conn: c, ctx: ctx, promptOnly: attempt.PromptOnly}
+	x := &Exchange{pool: pool, conn: c, ctx: ctx, promptOnly: attempt.PromptOnly, memory: bodyMemory{pool: pool.memory}}
 	x.stopWatching = context.AfterFunc(ctx, func() { c.Close() })
 	if err := x.roundTrip(dialect, call, attempt); err != nil {
 		x.Close()
@@ -76,10 +88,7 @@
 		return x.markIncomplete(errors.Wrap(err, "relay: write"))
 	}
 	for range maxSkippedResponses + 1 {
-		resp, err := http.ReadResponse(x.conn.reader, req)
-		for err == nil && resp.StatusCode < http.StatusOK {
-			resp, err = http.ReadResponse(x.conn.reader, req)
-		}
+		resp, err := x.readHead(req)
 		if err != nil {
 			return x.markIncomplete(errors.Wrap(err, "relay: head of the answer"))
 		}
@@ -89,13 +98,36 @@
 		}
 		// This is a late second response to an earlier request. The connection is not reused.
 		x.mismatched = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBodyBytes)); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBodyBytes+1))
+		if err != nil {
 			return x.markIncomplete(errors.Wrap(err, "relay: answer to another request"))
 		}
+		if skipped > maxBodyBytes {
+			break // the next bytes on the connection are in the middle of that body
+		}
 	}
 	return errors.Mark(errors.Mark(errors.New("relay: answers to other requests"), ErrResponseMismatch), ErrIncompleteResponse)
 }
 
+// readHead reads the head of the next final response and skips the informational ones before it.
+func (x *Exchange) readHead(req *http.Request) (*http.Response, error) {
+	x.conn.head.limit()
+	defer x.conn.head.unlimit()
+	for range maxInformational + 1 {
+		// A request may wait at the replica for long, so time counts only from the first byte.
+		if _, err := x.conn.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		x.conn.SetReadDeadline(time.Now().Add(maxHeadTime))
+		resp, err := http.ReadResponse(x.conn.reader, req)
+		x.conn.SetReadDeadline(time.Time{})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, errors.Newf("relay: more than %d informational responses", maxInformational)
+}
+
 // checkHeader returns an error if the response is a refusal, or a success without the signature that it should have.
 func (x *Exchange) checkHeader() error {
 	x.closeDelimited = x.resp.Request.Method != http.MethodHead && x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0
@@ -105,10 +137,9 @@
 		if x.info.Misdirected {
 			err = errors.Mark(err, ErrMisdirected)
 		}
-		// Reads the body, so that the connection can be reused.
-		if _, readErr := x.ReadBody(); readErr != nil {
-			x.complete = false
-		}
+		// Reads a short body to its end, so that the connection can be reused.
+		n, readErr := io.Copy(io.Discard, io.LimitReader(x.resp.Body, maxRefusalBytes+1))
+		x.complete = readErr == nil && n <= maxRefusalBytes
 		return err
 	case x.resp.StatusCode < http.StatusMultipleChoices && !x.info.Authentic && !x.promptOnly:
 		return errors.Mark(errors.Mark(errors.New("relay: successful response without the replica's signature"), ErrResponseMismatch), ErrIncompleteResponse)
@@ -125,17 +156,46 @@
 // Info returns what the dialect has parsed from the header of the response.
 func (x *Exchange) Info() ResponseInfo { return x.info }
 
+// Buffer accounts for a buffer of size bytes, which holds a part of the response until Close. It fails if the exchanges
+// of the pool buffer too much already.
+func (x *Exchange) Buffer(size int) error {
+	if err := x.memory.grow(size); err != nil {
+		return errors.Mark(err, ErrIncompleteResponse)
+	}
+	return nil
+}
+
 // ReadBody reads the complete body of the response.
 func (x *Exchange) ReadBody() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x.resp.Body, maxBodyBytes+1))
-	switch {
-	case err != nil:
-		return nil, x.markIncomplete(errors.Wrap(err, "relay: body"))
-	case len(body) > maxBodyBytes:
-		return nil, errors.Mark(errors.New("relay: answer too large"), ErrIncompleteResponse)
+	if x.resp.ContentLength > maxBodyBytes {
+		return nil, errors.Mark(errors.Newf("relay: answer of %d bytes is too large", x.resp.ContentLength), ErrIncompleteResponse)
+	}
+	// A list of blocks, because a buffer that grows would leave its earlier copies to the garbage collector.
+	var blocks [][]byte
+	size := 0
+	block := make([]byte, 0, max(minBodyBuffer, min(x.resp.ContentLength+1, bodyBlockBytes))) // one byte more, to see the end
+	for {
+		n, err := x.resp.Body.Read(block[len(block):cap(block)])
+		block, size = block[:len(block)+n], size+n
+		switch {
+		case err == io.EOF:
+			x.complete = true
+			if len(blocks) == 0 {
+				return block, nil
+			}
+			return bytes.Join(append(blocks, block), nil), nil
+		case err != nil:
+			return nil, x.markIncomplete(errors.Wrap(err, "relay: body"))
+		case size > maxBodyBytes:
+			return nil, errors.Mark(errors.New("relay: answer too large"), ErrIncompleteResponse)
+		case len(block) < cap(block):
+			continue
+		}
+		if err := x.Buffer(size + bodyBlockBytes); err != nil {
+			return nil, err
+		}
+		blocks, block = append(blocks, block), make([]byte, 0, bodyBlockBytes)
 	}
-	x.complete = true
-	return body, nil
 }
 
 // Read reads the next part of the body. It returns io.EOF only at the end of a complete response.
@@ -165,8 +225,11 @@
 // Close ends the exchange. The connection returns to the pool only if the request and the response are complete and
 // nothing else is outstanding on it; otherwise it is closed.
 func (x *Exchange) Close() {
+	x.memory.release()
 	watching := x.stopWatching()
-	if !watching || !x.complete || x.closeDelimited || x.mismatched || x.info.Closing || !x.bodyWritten() || x.resp.Close {
+	// Bytes after the end of the response belong to no request.
+	if !watching || !x.complete || x.closeDelimited || x.mismatched || x.info.Closing || !x.bodyWritten() || x.resp.Close ||
+		x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
 	}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -29,6 +29,8 @@
 // Pool keeps idle connections to replicas. It is safe for concurrent use.
 type Pool struct {
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// memory bounds what the exchanges buffer of responses.
+	memory *semaphore.Weighted
 
 	mu   sync.Mutex
 	idle map[string][]*conn // newest last
@@ -39,7 +41,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &Pool{dial: dial, idle: make(map[string][]*conn)}
+	return &Pool{dial: dial, memory: semaphore.NewWeighted(maxBufferedBytes), idle: make(map[string][]*conn)}
 }
 
 // get returns an idle connection or opens a new one; with fresh it always opens one. All errors are marked ErrNotSent.
@@ -60,7 +62,7 @@
 	raw, err := p.dial(dialCtx, "tcp", addr)
 	switch {
 	case err == nil:
-		return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+		return newConn(raw, addr), nil
 	case ctx.Err() != nil:
 		return nil, errors.Mark(errors.Mark(context.Cause(ctx), ErrRequestEnded), ErrNotSent)
 	case dialCtx.Err() != nil:
--- a/topo/httplist/list.go
+++ b/topo/httplist/list.go
@@ -19,17 +19,26 @@
 	callTimeout = 2 * time.Second
 	// maxListBytes is many times the size of a list of 320 instances and 860 replicas at about 200 bytes each.
 	maxListBytes = 4 << 20
+	// maxHeadBytes bounds the head of the response.
+	maxHeadBytes = 64 << 10
 	// Path is the path of the list.
 	Path = "/v1/instances"
 )
 
 // Client reads the instance list. It is safe for concurrent use.
-type Client struct{ url string }
+type Client struct {
+	url  string
+	http http.Client
+}
 
 var _ topo.Directory = (*Client)(nil)
 
 // New returns a client of the instance list at addr (IP:port).
-func New(addr string) *Client { return &Client{url: "http://" + addr + Path} }
+func New(addr string) *Client {
+	// The list is read at most every ten seconds, and an idle connection could fail without notice.
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	return &Client{url: "http://" + addr + Path, http: http.Client{Transport: transport}}
+}
 
 // Instances implements topo.Directory. It returns topo.ErrUnavailable when the list cannot be read.
 func (c *Client) Instances(ctx context.Context) ([]topo.Instance, error) {
@@ -47,9 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// The list is read at most every ten seconds, and an idle connection could fail without notice.
-	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "topo: instance list")
 	}
