discovery, daemon: three instances of a zone follow the store for the others

Cause: every instance watched the store, and each change woke every watch.

Change: rendezvous hashing over the live members of a zone selects three instances that follow the store. The others ask one of them for changes after a revision over the sessions between instances (WatchStore). A source vouches for changes only while the store responds to it; it states how old that response is and how long missing replicas are kept. An instance whose source fails asks the next one, and the store itself when all fail, with a pause that bounds the calls. Zones of three or fewer instances work as before. Gzip of exchanged values moved to internal/gzipbytes.

Tests: calls do not grow with the zone, changes are in force in 2.5 s; frozen and cut-off sources; expired entries after an outage.

--- a/config/manager/record.go
+++ b/config/manager/record.go
@@ -2,14 +2,13 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"io"
 	"slices"
 
 	"github.com/cockroachdb/errors"
 
 	"rhubarbpoint/config"
+	"rhubarbpoint/internal/gzipbytes"
 )
 
 const (
@@ -37,17 +36,10 @@
 }
 
 func decodeRecord(value []byte) (*record, error) {
-	zip, err := gzip.NewReader(bytes.NewReader(value))
+	data, err := gzipbytes.Decompress(value, maxRecordBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "config: record")
 	}
-	data, err := io.ReadAll(io.LimitReader(zip, maxRecordBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "config: record")
-	}
-	if len(data) > maxRecordBytes {
-		return nil, errors.Newf("config: record has more than %d bytes", maxRecordBytes)
-	}
 	// A release that ignored an unknown field would drop it from the record with its next edit.
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
@@ -60,11 +52,7 @@
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "a record is valid JSON"))
 	}
-	var out bytes.Buffer
-	zip := gzip.NewWriter(&out)
-	zip.Write(data)
-	zip.Close()
-	return out.Bytes()
+	return gzipbytes.Compress(data)
 }
 
 // findEdit returns the accepted edit with an ID, if the history lists it.
--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -72,8 +72,9 @@
 	shared := newSuspicions(r.store, s.Instance, logger)
 	shared.table = suspect.New(suspect.Options{Self: member.NewID(s.Instance), Publish: shared.scheduleWrite, Logger: logger})
 	r.suspicions = shared
+	relay := &storeRelay{region: s.Region, zone: s.Zone}
 	r.discovery = discovery.New(discovery.Options{
-		Store: r.store, Replicas: r.replicas, OnOtherEntry: shared.merge, OnDraining: func(u upstream.Replica) { r.peers.announceLeaving(u) }, Logger: logger,
+		Store: r.store, Relay: relay, Replicas: r.replicas, OnOtherEntry: shared.merge, OnDraining: func(u upstream.Replica) { r.peers.announceLeaving(u) }, Logger: logger,
 		Format: discovery.Format{
 			TableKey: platform.KeyRoutes, ReplicaPrefix: platform.PrefixReplicas, DecodeTable: platform.DecodeTable,
 			ReplicaID: platform.ReplicaID,
@@ -82,7 +83,7 @@
 			},
 		},
 	})
-	r.peers = newRoutedPeers(s, r.discovery, r.replicas, r.metrics, logger)
+	r.peers = newRoutedPeers(s, r.discovery, relay, r.replicas, r.metrics, logger)
 	r.stages = stages.NewController(stages.Options{
 		Store: r.store, Client: platform.NewStageClient(), Name: s.Instance, Table: r.discovery.Table, Replicas: r.replicas, Logger: logger,
 	})
--- a/daemon/routed_peers.go
+++ b/daemon/routed_peers.go
@@ -31,7 +31,8 @@
 	replicas  *upstream.Registry
 }
 
-func newRoutedPeers(s *settings.Settings, d *discovery.Watcher, replicas *upstream.Registry, registry metrics.Registry, logger *slog.Logger) *routedPeers {
+// newRoutedPeers also completes the relay, which the watcher was made with.
+func newRoutedPeers(s *settings.Settings, d *discovery.Watcher, relay *storeRelay, replicas *upstream.Registry, registry metrics.Registry, logger *slog.Logger) *routedPeers {
 	id := member.NewID(s.Instance)
 	p := &routedPeers{replicas: replicas}
 	p.transport = peer.New(peer.Options{
@@ -45,6 +46,8 @@
 		ApplyDocument: func(_ context.Context, _ int64, data []byte) error { return d.ApplySnapshot(time.Now(), data) },
 	})
 	p.member.Register(p.transport)
+	relay.transport, relay.member, relay.watcher = p.transport, p.member, d
+	p.transport.Handle(peer.KindWatchStore, relay.handle)
 	return p
 }
 
--- /dev/null
+++ b/discovery/feed.go
@@ -0,0 +1,105 @@
+package discovery
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbpoint/topo"
+)
+
+// maxFeedEntries bounds the changes that are kept for peers: more than change while a peer moves to another source.
+const maxFeedEntries = 512
+
+// ErrNotFollowing means that an instance has no changes to pass on: it does not follow the store, the store does not
+// respond to it, or the changes asked for are too old.
+var ErrNotFollowing = errors.New("discovery: changes of the store not available here")
+
+// feed keeps the latest changes of the store for peers. It is safe for concurrent use.
+type feed struct {
+	mu sync.Mutex
+	// entries are the changes after revision floor, up to revision, in the order in which the store returned them.
+	entries         []topo.Entry
+	floor, revision int64
+	// confirmedAt is when the store last responded to this instance itself.
+	confirmedAt time.Time
+	// changed is closed and replaced when the feed changes.
+	changed chan struct{}
+}
+
+func newFeed() *feed { return &feed{changed: make(chan struct{})} }
+
+// restart forgets the changes up to a revision at which all entries were read.
+func (f *feed) restart(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries, f.floor, f.revision = nil, revision, revision
+	f.notify()
+}
+
+// add appends the changes up to a revision.
+func (f *feed) add(entries []topo.Entry, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = append(f.entries, entries...)
+	if excess := len(f.entries) - maxFeedEntries; excess > 0 {
+		f.floor = f.entries[excess-1].Revision
+		f.entries = append([]topo.Entry(nil), f.entries[excess:]...)
+	}
+	if revision > f.revision {
+		f.revision = revision
+		f.notify()
+	}
+}
+
+// confirm records that the store responded to this instance itself.
+func (f *feed) confirm(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmedAt = now
+}
+
+func (f *feed) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// wait returns the changes after a revision as soon as there are any, or none when the wait is over. It returns
+// ErrNotFollowing if the feed cannot vouch for them.
+func (f *feed) wait(ctx context.Context, after int64, wait time.Duration) (*Changes, error) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for over := false; ; {
+		changes, changed, err := f.since(time.Now(), after)
+		if err != nil || over || changes.Revision > after {
+			return changes, err
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			over = true
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// since returns the changes after a revision, and the channel that is closed when there are others.
+func (f *feed) since(now time.Time, after int64) (*Changes, <-chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := now.Sub(f.confirmedAt)
+	if f.confirmedAt.IsZero() || age > maxRelayAge || after < f.floor {
+		return nil, nil, ErrNotFollowing
+	}
+	// The caller may know more, from a source that is ahead of this one.
+	changes := &Changes{Revision: max(after, f.revision), Age: age}
+	for _, entry := range f.entries {
+		if entry.Revision > after {
+			changes.Entries = append(changes.Entries, entry)
+		}
+	}
+	return changes, f.changed, nil
+}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -30,16 +30,40 @@
 	maxRetry = time.Second
 )
 
-// follower reads and watches the keys of a store.
+const (
+	// relayWait is the longest wait of one call to a source. It bounds how long a source that stopped goes unseen.
+	relayWait = time.Second
+	// relayGrace is how long after its wait a source may take to respond.
+	relayGrace = 500 * time.Millisecond
+	// maxRelayAge is the time since the store's last response after which a source passes nothing on. A watch without
+	// changes responds after watchWait.
+	maxRelayAge = watchWait + time.Second
+	// directRetry is the mean pause between the calls to the store of an instance whose sources all fail. The sources may
+	// fail for all instances at the same time, and the store may be one that only turns some instances away.
+	directRetry = 2 * time.Second
+)
+
+// errNoSource means that no source has changes to pass on, and that it is too early for a call to the store itself.
+var errNoSource = errors.New("discovery: no source follows the store")
+
+// follower reads and watches the keys of a store, itself or through a relay.
 type follower struct {
-	store  topo.Store
-	logger *slog.Logger
+	store topo.Store
+	// relay is nil if the instance always follows the store itself.
+	relay  Relay
+	health sourceHealth
+	// nextDirect is the earliest time of the next call to the store while sources are known and all of them fail.
+	nextDirect time.Time
+	feed       *feed
+	logger     *slog.Logger
 	// onList is called with all entries, onChange with each changed entry. A deleted entry has a nil Value.
 	onList   func(now time.Time, entries []topo.Entry)
 	onChange func(now time.Time, entry topo.Entry)
 	// onContact is called after each call, except one that finds the history compacted. ok reports whether the store
 	// responded.
 	onContact func(now time.Time, ok bool)
+	// onKeepMissing is called when a source still keeps replicas that the store no longer lists.
+	onKeepMissing func(until time.Time)
 }
 
 // run follows the store until the context ends.
@@ -51,7 +75,7 @@
 		var err error
 		watched := revision >= 0
 		if watched {
-			revision, err = f.watch(ctx, revision)
+			revision, err = f.next(ctx, revision)
 		} else {
 			revision, err = f.list(ctx)
 		}
@@ -78,6 +102,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errNoSource) {
+			f.onContact(now, false)
+			sleep.For(ctx, minRetry)
+			continue
+		}
 		if lostSince.IsZero() {
 			lostSince = now
 			eventStoreLost.Log(ctx, f.logger, slog.String("error", err.Error()))
@@ -97,9 +126,71 @@
 	now := time.Now()
 	f.onContact(now, true)
 	f.onList(now, entries)
+	f.feed.restart(revision)
+	f.feed.confirm(now)
 	return revision, nil
 }
 
+// next waits for changes from a source or, if this instance has none that works, from the store.
+func (f *follower) next(ctx context.Context, revision int64) (int64, error) {
+	if f.relay == nil {
+		return f.watch(ctx, revision)
+	}
+	sources := f.relay.Sources()
+	if len(sources) == 0 {
+		return f.watch(ctx, revision)
+	}
+	for _, source := range f.health.usable(time.Now(), sources) {
+		next, err := f.relayed(ctx, source, revision)
+		if err == nil || ctx.Err() != nil {
+			f.nextDirect = time.Time{}
+			return next, err
+		}
+	}
+	now := time.Now()
+	if f.nextDirect.IsZero() {
+		// The first call is made at once: until the members agree on the sources, an instance may have asked wrong ones.
+		f.nextDirect = now
+	}
+	if now.Before(f.nextDirect) {
+		return revision, errNoSource
+	}
+	f.nextDirect = now.Add(directRetry/2 + rand.N(directRetry))
+	return f.watch(ctx, revision)
+}
+
+// relayed waits for changes from a source. An instance that had no contact with the store does not pass them on.
+func (f *follower) relayed(ctx context.Context, source string, revision int64) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, relayWait+relayGrace)
+	defer cancel()
+	changes, err := f.relay.Changes(call, source, revision, relayWait)
+	now := time.Now()
+	if ctx.Err() == nil {
+		f.health.record(now, source, err == nil)
+	}
+	if err != nil {
+		eventSourceFailed.Log(ctx, f.logger, slog.String("source", source), slog.Int64("revision", revision), slog.String("error", err.Error()))
+		return revision, err
+	}
+	f.onContact(now, true)
+	if changes.KeepMissing > 0 {
+		f.onKeepMissing(now.Add(changes.KeepMissing))
+	}
+	f.apply(ctx, now, changes.Entries, changes.Revision)
+	return max(revision, changes.Revision), nil
+}
+
+// apply applies changes and pauses after them.
+func (f *follower) apply(ctx context.Context, now time.Time, entries []topo.Entry, revision int64) {
+	for _, entry := range entries {
+		f.onChange(now, entry)
+	}
+	f.feed.add(entries, revision)
+	if len(entries) > 0 {
+		sleep.For(ctx, batchPause)
+	}
+}
+
 // watch waits for changes and returns the revision to continue from, or -1 if the history has been compacted.
 func (f *follower) watch(ctx context.Context, revision int64) (int64, error) {
 	entries, next, err := f.store.Watch(ctx, allKeys, revision, watchWait)
@@ -112,11 +203,7 @@
 	}
 	now := time.Now()
 	f.onContact(now, true)
-	for _, entry := range entries {
-		f.onChange(now, entry)
-	}
-	if len(entries) > 0 {
-		sleep.For(ctx, batchPause)
-	}
+	f.feed.confirm(now)
+	f.apply(ctx, now, entries, next)
 	return next, nil
 }
--- /dev/null
+++ b/discovery/relay_test.go
@@ -0,0 +1,236 @@
+package discovery_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/discovery"
+	"rhubarbpoint/topo"
+	"rhubarbpoint/topo/memtopo"
+	"rhubarbpoint/traffic"
+	"rhubarbpoint/upstream"
+)
+
+// zoneFixture is a zone of instances of which the first few follow the store for the others.
+type zoneFixture struct {
+	*gomega.WithT
+	store     *store
+	instances []*zoneInstance
+	revisions map[string]int64
+}
+
+// zoneInstance is one instance of a zoneFixture. It is its own store client and the relay of its watcher.
+type zoneInstance struct {
+	topo.Store
+	zone     *zoneFixture
+	index    int
+	watcher  *discovery.Watcher
+	replicas *upstream.Registry
+
+	mu sync.Mutex
+	// calls counts the calls to the store. cutOff makes them fail; frozen leaves the peers without a response.
+	calls          int
+	cutOff, frozen bool
+}
+
+const zoneFollowers = 3
+
+func (i *zoneInstance) countCall() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.calls++
+	if i.cutOff {
+		return topo.ErrUnavailable
+	}
+	return nil
+}
+
+func (i *zoneInstance) List(ctx context.Context, prefix string) ([]topo.Entry, int64, error) {
+	if err := i.countCall(); err != nil {
+		return nil, 0, err
+	}
+	return i.Store.List(ctx, prefix)
+}
+
+func (i *zoneInstance) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Entry, int64, error) {
+	if err := i.countCall(); err != nil {
+		return nil, after, err
+	}
+	return i.Store.Watch(ctx, prefix, after, wait)
+}
+
+func (i *zoneInstance) Sources() []string {
+	if i.index < zoneFollowers {
+		return nil
+	}
+	var sources []string
+	for k := range zoneFollowers {
+		sources = append(sources, fmt.Sprint((i.index+k)%zoneFollowers))
+	}
+	return sources
+}
+
+func (i *zoneInstance) Changes(ctx context.Context, source string, after int64, wait time.Duration) (*discovery.Changes, error) {
+	var index int
+	fmt.Sscan(source, &index)
+	peer := i.zone.instances[index]
+	peer.mu.Lock()
+	frozen := peer.frozen
+	peer.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return peer.watcher.Changes(ctx, after, wait)
+}
+
+func (i *zoneInstance) set(change func()) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	change()
+}
+
+func (i *zoneInstance) usable() string {
+	var ids []string
+	for _, r := range i.replicas.Available("s") {
+		ids = append(ids, r.ID)
+	}
+	return strings.Join(ids, " ")
+}
+
+func withZone(t *testing.T, size int, test func(z *zoneFixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		z := &zoneFixture{WithT: gomega.NewWithT(t), store: &store{Store: memtopo.New(nil)}, revisions: make(map[string]int64)}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for index := range size {
+			i := &zoneInstance{Store: z.store, zone: z, index: index, replicas: upstream.NewRegistry()}
+			i.watcher = discovery.New(discovery.Options{Store: i, Relay: i, Replicas: i.replicas, Format: discovery.Format{
+				TableKey: "routes", ReplicaPrefix: "r/",
+				DecodeTable: func([]byte) (*traffic.Table, error) { return nil, errors.New("no routes") },
+				DecodeReplica: func(key string, value []byte) (upstream.Replica, error) {
+					return upstream.Replica{ID: strings.TrimPrefix(key, "r/"), Service: "s", Draining: string(value) == "draining"}, nil
+				},
+				ReplicaID: func(key string) string { return strings.TrimPrefix(key, "r/") },
+			}})
+			z.instances = append(z.instances, i)
+		}
+		for _, i := range z.instances {
+			running.Go(func() { i.watcher.Run(ctx) })
+		}
+		defer func() { cancel(); running.Wait() }()
+		test(z)
+	})
+}
+
+func (z *zoneFixture) put(key, value string) {
+	revision, err := z.store.Put(context.Background(), key, []byte(value), z.revisions[key], 0)
+	z.Expect(err).NotTo(gomega.HaveOccurred())
+	z.revisions[key] = revision
+}
+
+func (z *zoneFixture) remove(key string) {
+	z.Expect(z.store.Delete(context.Background(), key, z.revisions[key])).To(gomega.Succeed())
+	z.revisions[key] = 0
+}
+
+func (z *zoneFixture) expectUsable(ids string) {
+	for _, i := range z.instances {
+		z.Expect(i.usable()).To(gomega.Equal(ids), "instance %d", i.index)
+	}
+}
+
+// inForce is the shortest time within which a deployment wants changes in force on all instances.
+const inForce = 2500 * time.Millisecond
+
+// Guards against calls to the store that grow with the instances of a zone, and against changes that come late, are
+// lost, or come back when they pass through another instance.
+func TestFewInstancesFollowTheStoreForAll(t *testing.T) {
+	calls := func(size int) (total int) {
+		withZone(t, size, func(z *zoneFixture) {
+			time.Sleep(time.Second)
+			for n := range 20 {
+				z.put("r/a", "ready")
+				z.put(fmt.Sprintf("r/b%d", n), "ready")
+				time.Sleep(700 * time.Millisecond)
+				z.remove(fmt.Sprintf("r/b%d", n))
+				time.Sleep(inForce)
+				z.expectUsable("a")
+			}
+			z.put("r/a", "draining")
+			time.Sleep(inForce)
+			z.expectUsable("")
+			for _, i := range z.instances {
+				total += i.calls
+			}
+		})
+		return total
+	}
+	few, many := calls(zoneFollowers), calls(10*zoneFollowers)
+	// Each of the others may read everything once at its start.
+	gomega.NewWithT(t).Expect(many).To(gomega.BeNumerically("<=", few+2*9*zoneFollowers))
+}
+
+// Guards against instances that learn nothing while the instance through which they follow the store does not respond,
+// is cut off from the store, or both at once for different ones.
+func TestFailedSourceIsReplaced(t *testing.T) {
+	withZone(t, 12, func(z *zoneFixture) {
+		time.Sleep(time.Second)
+		z.put("r/a", "ready")
+		time.Sleep(inForce)
+		z.expectUsable("a")
+		z.instances[0].set(func() { z.instances[0].frozen = true })
+		z.instances[1].set(func() { z.instances[1].cutOff = true })
+		z.put("r/b", "ready")
+		// A source that is cut off notices with its next call, and passes nothing on from then.
+		time.Sleep(inForce + 2500*time.Millisecond)
+		for _, i := range z.instances[2:] {
+			z.Expect(i.usable()).To(gomega.Equal("a b"), "instance %d", i.index)
+		}
+		z.instances[2].set(func() { z.instances[2].frozen = true })
+		z.put("r/c", "ready")
+		// No source is left, so the others call the store themselves, but not all the time.
+		before := z.instances[5].calls
+		time.Sleep(10 * time.Second)
+		for _, i := range z.instances[2:] {
+			z.Expect(i.usable()).To(gomega.Equal("a b c"), "instance %d", i.index)
+		}
+		z.Expect(z.instances[5].calls-before).To(gomega.BeNumerically("<=", 12))
+		for k := range zoneFollowers {
+			z.instances[k].set(func() { z.instances[k].frozen, z.instances[k].cutOff = false, false })
+		}
+		time.Sleep(10 * time.Second)
+		before = z.instances[5].calls
+		z.remove("r/a")
+		time.Sleep(inForce)
+		z.expectUsable("b c")
+		z.Expect(z.instances[5].calls).To(gomega.Equal(before), "sources are used again")
+	})
+}
+
+// Guards against replicas that are dropped at once on instances that follow the store through others, although their
+// entries only expired during an outage.
+func TestExpiredEntriesAreKeptAfterAnOutageBehindASource(t *testing.T) {
+	withZone(t, 9, func(z *zoneFixture) {
+		time.Sleep(time.Second)
+		z.put("r/a", "ready")
+		time.Sleep(inForce)
+		z.store.set(func() { z.store.unavailable = true })
+		time.Sleep(6 * time.Second)
+		z.remove("r/a")
+		z.store.set(func() { z.store.unavailable = false })
+		time.Sleep(1200 * time.Millisecond)
+		z.expectUsable("a")
+		z.put("r/a", "ready")
+		time.Sleep(5 * time.Second)
+		z.expectUsable("a")
+	})
+}
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -20,7 +20,9 @@
 
 // Options configure a Watcher.
 type Options struct {
-	Store    topo.Store
+	Store topo.Store
+	// Relay, if not nil, reads changes through other instances.
+	Relay    Relay
 	Format   Format
 	Replicas *upstream.Registry
 	// OnDraining is called for a replica that the store lists as draining. It may be nil.
@@ -36,6 +38,7 @@
 type Watcher struct {
 	opts  Options
 	table atomic.Pointer[traffic.Table]
+	feed  *feed
 
 	mu sync.Mutex
 	// failures counts the failed calls since the last response. Missing replicas are kept until keepMissingUntil.
@@ -52,7 +55,7 @@
 
 // New returns a watcher without routes.
 func New(opts Options) *Watcher {
-	return &Watcher{opts: opts, known: snapshot{Replicas: make(map[string][]byte)}}
+	return &Watcher{opts: opts, feed: newFeed(), known: snapshot{Replicas: make(map[string][]byte)}}
 }
 
 // Table returns the routes in force, or nil if none are in force yet.
@@ -62,12 +65,31 @@
 func (w *Watcher) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	// One watch covers all keys, because every call to the store is counted and has a cost.
-	f := &follower{store: w.opts.Store, logger: w.opts.Logger, onList: w.applyList, onChange: w.applyEntry, onContact: w.recordContact}
+	f := &follower{
+		store: w.opts.Store, relay: w.opts.Relay, feed: w.feed, logger: w.opts.Logger,
+		onList: w.applyList, onChange: w.applyEntry, onContact: w.recordContact, onKeepMissing: w.extendKeepMissing,
+	}
 	running.Go(func() { f.run(ctx) })
 	running.Go(func() { w.dropMissingLoop(ctx) })
 	running.Wait()
 }
 
+// Changes waits up to wait for changes after a revision, for a peer that follows the store through this instance. It
+// returns ErrNotFollowing if this instance cannot vouch for them.
+func (w *Watcher) Changes(ctx context.Context, after int64, wait time.Duration) (*Changes, error) {
+	changes, err := w.feed.wait(ctx, after, wait)
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failures >= outageFailures {
+		return nil, ErrNotFollowing
+	}
+	changes.KeepMissing = max(0, time.Until(w.keepMissingUntil))
+	return changes, nil
+}
+
 // applyEntry applies one entry of the store.
 func (w *Watcher) applyEntry(now time.Time, entry topo.Entry) {
 	switch {
@@ -141,6 +163,15 @@
 	w.failures = 0
 }
 
+// extendKeepMissing keeps missing replicas until at least the given time.
+func (w *Watcher) extendKeepMissing(until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if until.After(w.keepMissingUntil) {
+		w.keepMissingUntil = until
+	}
+}
+
 // keepMissing reports whether the store's list may lack replicas that are alive.
 func (w *Watcher) keepMissing(now time.Time) bool {
 	w.mu.Lock()
--- a/member/fetch.go
+++ b/member/fetch.go
@@ -2,15 +2,13 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"context"
-	"io"
 	"log/slog"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"rhubarbpoint/peer"
+	"rhubarbpoint/internal/gzipbytes"
 	"rhubarbpoint/peer/peerpb"
 	"rhubarbpoint/topo"
 )
@@ -101,11 +99,7 @@
 	config := &peerpb.ConfigDocument{Version: version}
 	if fetch := req.GetFetchConfig(); version > fetch.GetHaveVersion() {
 		if fetch.GetAcceptGzip() {
-			compressed, err := s.compress(version, document)
-			if err != nil {
-				return nil, &peer.RemoteError{Code: peer.CodeInternal, Message: err.Error()}
-			}
-			config.GzipDocument = compressed
+			config.GzipDocument = s.compress(version, document)
 		} else {
 			config.Document = document
 		}
@@ -113,25 +107,18 @@
 	return &peerpb.Response{Result: &peerpb.Response_Config{Config: config}}, nil
 }
 
-func (s *Service) compress(version int64, document []byte) ([]byte, error) {
+func (s *Service) compress(version int64, document []byte) []byte {
 	s.mu.Lock()
 	cached := s.compressed
 	s.mu.Unlock()
 	if cached.version == version && bytes.Equal(cached.document, document) {
-		return cached.gzip, nil
-	}
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	if _, err := w.Write(document); err != nil {
-		return nil, errors.Wrap(err, "member: compress document")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "member: compress document")
+		return cached.gzip
 	}
+	data := gzipbytes.Compress(document)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.compressed = compressedDocument{version: version, document: document, gzip: b.Bytes()}
-	return b.Bytes(), nil
+	s.compressed = compressedDocument{version: version, document: document, gzip: data}
+	return data
 }
 
 // decompress returns the document, decompressed if necessary, or nil if the peer had no higher version.
@@ -139,16 +126,6 @@
 	if len(c.GetGzipDocument()) == 0 {
 		return c.GetDocument(), nil
 	}
-	r, err := gzip.NewReader(bytes.NewReader(c.GetGzipDocument()))
-	if err != nil {
-		return nil, errors.Wrap(err, "member: decompress document")
-	}
-	document, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "member: decompress document")
-	}
-	if len(document) > maxDocumentBytes {
-		return nil, errors.Newf("member: decompressed document exceeds %d bytes", maxDocumentBytes)
-	}
-	return document, nil
+	document, err := gzipbytes.Decompress(c.GetGzipDocument(), maxDocumentBytes)
+	return document, errors.Wrap(err, "member: decompress document")
 }
--- a/peer/kind.go
+++ b/peer/kind.go
@@ -15,6 +15,7 @@
 	KindAwaitOutcome
 	KindRegisterFence
 	KindForwardOrder
+	KindWatchStore
 	kindCount
 )
 
@@ -35,6 +36,8 @@
 		return KindRegisterFence
 	case *peerpb.Request_ForwardOrder:
 		return KindForwardOrder
+	case *peerpb.Request_WatchStore:
+		return KindWatchStore
 	}
 	return KindUnknown
 }
