stages: a quarter of a zone decodes where batches are large

Change: a quarter of a zone's engines decode, or as many as give each prefill replica six slots. Twice as many slots are provided where that takes no more than a third of the zone, as with batches of 24.

--- a/stages/plan.go
+++ b/stages/plan.go
@@ -23,8 +23,13 @@
 	// restarts causes no orders.
 	targetSlotsPerPrefill = 6
 	minSlotsPerPrefill    = 4
-	// minDecodeShare is the least share of a zone's replicas in stage decode.
-	minDecodeShare = 1.0 / 3
+	// spareSlotsFactor times as many slots are provided where that takes no more than maxSpareShare of the zone: half of
+	// them are then free at a mean load, for bursts and for batches that fill unequally.
+	spareSlotsFactor = 2
+	// minDecodeShare is the least share of a zone's replicas in stage decode. The KV caches of all handed-off prompts go
+	// through their links, one after another.
+	minDecodeShare = 1.0 / 4
+	maxSpareShare  = 1.0 / 3
 	// maxChangingShare is the share of a service's replicas that may be unavailable for a change at the same time.
 	maxChangingShare = 0.25
 )
@@ -37,7 +42,7 @@
 
 // Plan returns the changes to a good stage assignment for the replicas of a service, in order of their IDs. In each
 // zone as many replicas as possible are in stage prefill, as long as the decode replicas have batch slots for the
-// prompts that are handed off to them and are at least a third of the zone. It returns none for a service without
+// prompts that are handed off to them and are at least a quarter of the zone. It returns none for a service without
 // prefill replicas or without decode replicas.
 func Plan(service *traffic.Service, replicas []*upstream.Replica) []Change {
 	if service.Engine == nil {
@@ -97,8 +102,16 @@
 }
 
 // decodeCount returns how many of a zone's replicas must be in stage decode to provide slotsPerPrefill batch slots for
-// each prefill replica. At least one replica is left for prefill.
+// each prefill replica, and spare ones as far as maxSpareShare allows. At least one replica is left for prefill.
 func decodeCount(replicas, slots, slotsPerPrefill int) int {
-	least := int(math.Ceil(float64(replicas) * minDecodeShare))
-	return min(replicas-1, max(1, least, int(math.Ceil(float64(replicas*slotsPerPrefill)/float64(slots+slotsPerPrefill)))))
+	spare := max(share(replicas, minDecodeShare), slotDivision(replicas, slots, spareSlotsFactor*slotsPerPrefill))
+	spare = min(spare, share(replicas, maxSpareShare))
+	return min(replicas-1, max(1, spare, slotDivision(replicas, slots, slotsPerPrefill)))
 }
+
+// slotDivision returns the least number of decode replicas whose slots are slotsPerPrefill for each of the others.
+func slotDivision(replicas, slots, slotsPerPrefill int) int {
+	return int(math.Ceil(float64(replicas*slotsPerPrefill) / float64(slots+slotsPerPrefill)))
+}
+
+func share(replicas int, share float64) int { return int(math.Ceil(float64(replicas) * share)) }
