--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -203,7 +203,7 @@
 		for _, i := range z.instances[2:] {
 			z.Expect(i.usable()).To(gomega.Equal("a b c"), "instance %d", i.index)
 		}
-		z.Expect(z.instances[5].calls-before).To(gomega.BeNumerically("<=", 12))
+		z.Expect(z.instances[5].calls - before).To(gomega.BeNumerically("<=", 12))
 		for k := range zoneFollowers {
 			z.instances[k].set(func() { z.instances[k].frozen, z.instances[k].cutOff = false, false })
 		}
