stages, discovery: few campaigns and few calls to the store at the start

Cause: while a change of stages was due, every instance that does not hold the authority read its key every six seconds, and in the first seconds, before the members are known, every instance followed the store with a call for each group of changes.

Change: only instances that follow the store may campaign. In its first five seconds an instance that can relay pauses for 1 s after changes.

Tests: TestOnlyCandidatesCampaign; TestChangesSurviveTheWayThroughAPeer, TestMalformedChangesAreRefused, TestInstanceWithoutTheStoreRefusesPeers.

--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -85,7 +85,8 @@
 	})
 	r.peers = newRoutedPeers(s, r.discovery, relay, r.replicas, r.metrics, logger)
 	r.stages = stages.NewController(stages.Options{
-		Store: r.store, Client: platform.NewStageClient(), Name: s.Instance, Table: r.discovery.Table, Replicas: r.replicas, Logger: logger,
+		Store: r.store, Client: platform.NewStageClient(), Name: s.Instance, Table: r.discovery.Table, Replicas: r.replicas,
+		Candidate: relay.followsStore, Logger: logger,
 	})
 	r.server = entry.NewServer(entry.Options{
 		Document: func() *config.Document { return nil }, Region: s.Region, Health: retry.NewHealth(), Metrics: r.metrics, Logger: logger,
--- a/daemon/store_relay.go
+++ b/daemon/store_relay.go
@@ -67,6 +67,9 @@
 	return highestHashes(sources, self, len(sources))
 }
 
+// followsStore reports whether this instance follows the store itself.
+func (r *storeRelay) followsStore() bool { return len(r.Sources()) == 0 }
+
 // highestHashes returns the count instances with the highest hashes for a purpose, highest first.
 func highestHashes(ids []string, purpose string, count int) []string {
 	hash := func(id string) uint64 { return xxhash.Sum64String(purpose + "/" + id) }
--- /dev/null
+++ b/daemon/store_relay_test.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"rhubarbpoint/discovery"
+	"rhubarbpoint/internal/gzipbytes"
+	"rhubarbpoint/peer"
+	"rhubarbpoint/peer/peerpb"
+	"rhubarbpoint/topo"
+	"rhubarbpoint/topo/memtopo"
+	"rhubarbpoint/traffic"
+	"rhubarbpoint/upstream"
+)
+
+// Guards against a value that changes on its way through another instance: a large one, an empty one, or one that was
+// deleted.
+func TestChangesSurviveTheWayThroughAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		store := memtopo.New(nil)
+		relay := &storeRelay{watcher: discovery.New(discovery.Options{Store: store, Replicas: upstream.NewRegistry(), Format: discovery.Format{
+			TableKey: "routes", ReplicaPrefix: "r/",
+			DecodeTable: func(value []byte) (*traffic.Table, error) {
+				table := &traffic.Table{}
+				return table, json.Unmarshal(value, table)
+			},
+		}})}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { relay.watcher.Run(ctx); close(done) }()
+		defer func() { cancel(); <-done }()
+		time.Sleep(time.Second)
+		large := bytes.Repeat([]byte("route "), minGzipBytes)
+		revisions := map[string]int64{}
+		for key, value := range map[string][]byte{"large": large, "empty": {}, "gone": []byte("x")} {
+			revision, err := store.Put(ctx, key, value, 0, 0)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			revisions[key] = revision
+		}
+		g.Expect(store.Delete(ctx, "gone", revisions["gone"])).To(gomega.Succeed())
+		time.Sleep(time.Second)
+
+		resp, err := relay.handle(ctx, "", &peerpb.Request{Call: &peerpb.Request_WatchStore{WatchStore: &peerpb.WatchStore{}}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(proto.Size(resp)).To(gomega.BeNumerically("<", minGzipBytes), "large values are compressed")
+		changes, err := decodeChanges(resp.GetStoreChanges())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		latest := map[string][]byte{}
+		for _, entry := range changes.Entries {
+			latest[entry.Key] = entry.Value
+		}
+		g.Expect(latest).To(gomega.Equal(map[string][]byte{"large": large, "empty": {}, "gone": nil}))
+	})
+}
+
+// Guards against a malformed or oversized message of a peer that is applied in part.
+func TestMalformedChangesAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	good := &peerpb.StoreEntry{Key: "a", Revision: 1, Value: []byte("x")}
+	for name, message := range map[string]*peerpb.StoreChanges{
+		"no changes": nil,
+		"not gzip":   {Entries: []*peerpb.StoreEntry{good, {Key: "b", Revision: 2, GzipValue: []byte("odd")}}},
+		"too large": {Entries: []*peerpb.StoreEntry{good, {
+			Key: "b", Revision: 2, GzipValue: gzipbytes.Compress([]byte(strings.Repeat("x", topo.MaxValueBytes+1))),
+		}}},
+	} {
+		_, err := decodeChanges(message)
+		g.Expect(err).To(gomega.HaveOccurred(), name)
+	}
+}
+
+// Guards against an instance that passes on changes although it does not follow the store.
+func TestInstanceWithoutTheStoreRefusesPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	relay := &storeRelay{watcher: discovery.New(discovery.Options{Replicas: upstream.NewRegistry()})}
+	_, err := relay.handle(t.Context(), "", &peerpb.Request{Call: &peerpb.Request_WatchStore{WatchStore: &peerpb.WatchStore{WaitMillis: 1000}}})
+	var remote *peer.RemoteError
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(remote))
+}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -38,6 +38,10 @@
 	// maxRelayAge is the time since the store's last response after which a source passes nothing on. A watch without
 	// changes responds after watchWait.
 	maxRelayAge = watchWait + time.Second
+	// startTime is how long after its start an instance may not know the other members of its zone yet. All instances may
+	// start at the same time and follow the store themselves until then, with a longer pause after changes.
+	startTime  = 5 * time.Second
+	startPause = time.Second
 	// directRetry is the mean pause between the calls to the store of an instance whose sources all fail. The sources may
 	// fail for all instances at the same time, and the store may be one that only turns some instances away.
 	directRetry = 2 * time.Second
@@ -50,8 +54,9 @@
 type follower struct {
 	store topo.Store
 	// relay is nil if the instance always follows the store itself.
-	relay  Relay
-	health sourceHealth
+	relay     Relay
+	startedAt time.Time
+	health    sourceHealth
 	// nextDirect is the earliest time of the next call to the store while sources are known and all of them fail.
 	nextDirect time.Time
 	feed       *feed
@@ -68,6 +73,7 @@
 
 // run follows the store until the context ends.
 func (f *follower) run(ctx context.Context) {
+	f.startedAt = time.Now()
 	pause := minRetry
 	lostSince := time.Time{}
 	revision := int64(-1)
@@ -186,7 +192,11 @@
 		f.onChange(now, entry)
 	}
 	f.feed.add(entries, revision)
-	if len(entries) > 0 {
+	switch {
+	case len(entries) == 0:
+	case f.relay != nil && now.Sub(f.startedAt) < startTime:
+		sleep.For(ctx, startPause)
+	default:
 		sleep.For(ctx, batchPause)
 	}
 }
--- a/stages/controller.go
+++ b/stages/controller.go
@@ -36,7 +36,10 @@
 	Name     string
 	Table    func() *traffic.Table
 	Replicas *upstream.Registry
-	Logger   *slog.Logger
+	// Candidate reports whether this instance may campaign for the authority. With few candidates, the calls to the store
+	// do not grow with the instances. If nil, it may.
+	Candidate func() bool
+	Logger    *slog.Logger
 }
 
 // Controller changes the stages of the replicas of all services to the planned ones.
@@ -74,7 +77,7 @@
 			continue
 		}
 		if c.holder.Fence() == 0 {
-			if now.Before(nextCampaign) {
+			if now.Before(nextCampaign) || c.opts.Candidate != nil && !c.opts.Candidate() {
 				continue
 			}
 			nextCampaign = now.Add(leaseTTL + campaignJitter())
--- a/stages/controller_test.go
+++ b/stages/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,3 +159,38 @@
 		})
 	}
 }
+
+// Guards against calls to the store that every instance makes while a change of stages is due, and against a change that
+// is never made because the instances that may campaign have stopped.
+func TestOnlyCandidatesCampaign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		store := memtopo.New(nil)
+		registry := upstream.NewRegistry()
+		fleet := &fakeReplicas{random: rand.New(rand.NewPCG(1, 3)), registry: registry, sequences: make(map[string]int64)}
+		table := &traffic.Table{Version: 1, Services: map[string]traffic.Service{"model": *service(128)}}
+		var candidate atomic.Bool
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for i := range 5 {
+			c := stages.NewController(stages.Options{
+				Store: store, Client: fleet, Name: string(rune('A' + i)), Replicas: registry,
+				Table: func() *traffic.Table { return table }, Candidate: candidate.Load,
+			})
+			running.Go(func() { c.Run(ctx) })
+		}
+		for _, r := range replicas(map[string]string{"a": "pdd"}) {
+			registry.Put(*r)
+		}
+		time.Sleep(time.Minute)
+		_, revision, err := store.List(ctx, "")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(revision).To(gomega.BeZero(), "nothing was written")
+		g.Expect(fleet.orders).To(gomega.BeEmpty())
+		candidate.Store(true)
+		time.Sleep(time.Minute)
+		g.Expect(fleet.orders).NotTo(gomega.BeEmpty())
+		cancel()
+		running.Wait()
+	})
+}
