soak: five instances, replicas that send heads and bodies without end

Cause: with three instances none followed the store through another, and no replica sent bytes without end.

Change: five instances; two faults of replicas.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -22,8 +22,8 @@
 	serviceModel = "m"
 )
 
-// instances is the number of entry instances.
-const instances = 3
+// instances is the number of entry instances: more than follow the store, so that some follow it through others.
+const instances = 5
 
 // cluster is a fleet of entry instances under test with its store, replicas, callers and links.
 type cluster struct {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -64,6 +64,8 @@
 	{"replica truncates answers", withReplicaFault(truncateResponses)},
 	{"replica adds bytes", withReplicaFault(sendExtraResponses)},
 	{"replica slow", withReplicaFault(slowResponses)},
+	{"replica sends heads without end", withReplicaFault(sendEndlessHeads)},
+	{"replica sends bodies without end", withReplicaFault(sendEndlessBodies)},
 	{"replica links held", func(c *cluster, random *rand.Rand, length time.Duration) {
 		r := c.randomReplica(random)
 		r.link.Set(faultproxy.Fault{HoldFromTarget: true})
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"rhubarbpoint/internal/endless"
 	"rhubarbpoint/internal/faultproxy"
 	"rhubarbpoint/platform"
 	"rhubarbpoint/upstream"
@@ -34,6 +35,8 @@
 	truncateResponses
 	sendExtraResponses
 	slowResponses
+	sendEndlessHeads
+	sendEndlessBodies
 )
 
 // replica is one incarnation of a replica, which runs in this process.
@@ -138,8 +141,15 @@
 	if fault == slowResponses {
 		time.Sleep(20 * workTime)
 	}
-	if fault == loseResponses {
+	switch fault {
+	case loseResponses:
 		panic(http.ErrAbortHandler)
+	case sendEndlessHeads:
+		respondEndlessly(w, "HTTP/1.1 200 OK\r\n", "Name: value\r\n")
+		return
+	case sendEndlessBodies:
+		respondEndlessly(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\n\r\n", platform.HeaderRequestID, request, platform.HeaderSignature), "x")
+		return
 	}
 	if kind == pathOrder || kind == pathLook {
 		time.Sleep(workTime)
@@ -170,6 +180,15 @@
 	r.cluster.recorder.recordResponse(request)
 }
 
+// respondEndlessly sends prefix and then repeats block until the instance closes the connection.
+func respondEndlessly(w http.ResponseWriter, prefix, block string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	endless.Respond(conn, prefix, block)
+}
+
 // sendExtraResponse sends a complete response and after it, where the connection's next response is expected, another
 // one that belongs to no request.
 func (r *replica) sendExtraResponse(w http.ResponseWriter, request, text string) {
