--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 	$(GO) test ./entry -run xxx -fuzz FuzzDecodeChat -fuzztime $(FUZZTIME)
 	$(GO) test ./engine/httpengine -run xxx -fuzz FuzzFrames -fuzztime $(FUZZTIME)
 	$(GO) test ./peer -run xxx -fuzz FuzzReadFrame -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run xxx -fuzz FuzzDecodeTable -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run xxx -fuzz FuzzDecodeReplica -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run xxx -fuzz FuzzParseResponse -fuzztime $(FUZZTIME)
 
 # Plays faults against real processes: make soak SEED=n, or make soak MINUTES=m from that seed on.
 MINUTES ?=
