discovery: log failed sources; state dump lists an instance's sources

A failed source is a lost dependency, so event 1308 is a warning. The state dump has the instances through which this one follows the store.

--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -101,6 +101,7 @@
 	state.Register("entry", func() any { return r.server.State(time.Now()) })
 	state.Register("replicas", func() any { return r.replicas.All() })
 	state.Register("member", func() any { return r.peers.member.Dump() })
+	state.Register("sources", func() any { return relay.Sources() })
 	state.Register("routes", func() any { return r.discovery.Table() })
 	r.operator = newOperatorServer(operator.NewServer(operator.Options{
 		Ready: r.ready, Metrics: r.metrics, State: state,
--- a/discovery/events.go
+++ b/discovery/events.go
@@ -11,7 +11,7 @@
 		"A call that reads or watches the routes and replicas failed. The last known routes and replicas stay in use.")
 	eventStoreRegained = event.New(1301, "store regained", slog.LevelInfo,
 		"The store responds again. Replicas that it no longer lists are dropped two seconds later.")
-	eventSourceFailed = event.New(1308, "source failed", slog.LevelDebug,
+	eventSourceFailed = event.New(1308, "source failed", slog.LevelWarn,
 		"The instance through which this one follows the store did not respond or has no changes to pass on. Another one, "+
 			"or the store itself, is asked instead.")
 	eventHistoryLost = event.New(1302, "history lost", slog.LevelInfo,
