discovery: failing sources alone are no store outage

Cause: an instance whose sources failed counted each round as a failed call to the store. At the start, when the sources do not follow the store yet, it took that for an outage and kept removed replicas for 2.2 s.

Change: only a failed call to the store itself counts; it counts as an outage if the sources have failed as well.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -109,7 +109,6 @@
 			return
 		}
 		if errors.Is(err, errNoSource) {
-			f.onContact(now, false)
 			sleep.For(ctx, minRetry)
 			continue
 		}
@@ -153,16 +152,19 @@
 			return next, err
 		}
 	}
-	now := time.Now()
-	if f.nextDirect.IsZero() {
-		// The first call is made at once: until the members agree on the sources, an instance may have asked wrong ones.
-		f.nextDirect = now
+	// Soon after the start, the sources may not follow the store yet, or may be the wrong ones.
+	if now := time.Now(); now.Sub(f.startedAt) >= startTime {
+		if now.Before(f.nextDirect) {
+			return revision, errNoSource
+		}
+		f.nextDirect = now.Add(directRetry/2 + rand.N(directRetry))
 	}
-	if now.Before(f.nextDirect) {
-		return revision, errNoSource
+	next, err := f.watch(ctx, revision)
+	if err != nil {
+		// The sources have failed as well, so this is not the end of a single connection.
+		f.onContact(time.Now(), false)
 	}
-	f.nextDirect = now.Add(directRetry/2 + rand.N(directRetry))
-	return f.watch(ctx, revision)
+	return next, err
 }
 
 // relayed waits for changes from a source. An instance that had no contact with the store does not pass them on.
