discovery: retry at most a second after the last call; two tests without races

Cause: TestEntriesThatExpireDuringAnOutage failed in 4 of 200 runs of the untouched code: the pause after a failed call went up to 1.5 s, so missing replicas stayed up to 3.8 s after the store's return. TestPeerSnapshotReplacesUnreachableStore failed once in 200: its watcher could read the store before the test made it unavailable.

Change: the pause is between half and all of its length. The test's store is unavailable before the watcher starts. The relay tests count calls under the lock.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -117,7 +117,7 @@
 			eventStoreLost.Log(ctx, f.logger, slog.String("error", err.Error()))
 		}
 		f.onContact(now, false)
-		sleep.For(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+		sleep.For(ctx, pause/2+rand.N(pause/2))
 		pause = min(maxRetry, 2*pause)
 	}
 }
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -92,6 +92,12 @@
 	return peer.watcher.Changes(ctx, after, wait)
 }
 
+func (i *zoneInstance) storeCalls() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.calls
+}
+
 func (i *zoneInstance) set(change func()) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -169,7 +175,7 @@
 			time.Sleep(inForce)
 			z.expectUsable("")
 			for _, i := range z.instances {
-				total += i.calls
+				total += i.storeCalls()
 			}
 		})
 		return total
@@ -199,21 +205,21 @@
 		z.instances[2].set(func() { z.instances[2].frozen = true })
 		z.put("r/c", "ready")
 		// No source is left, so the others call the store themselves, but not all the time.
-		before := z.instances[5].calls
+		before := z.instances[5].storeCalls()
 		time.Sleep(10 * time.Second)
 		for _, i := range z.instances[2:] {
 			z.Expect(i.usable()).To(gomega.Equal("a b c"), "instance %d", i.index)
 		}
-		z.Expect(z.instances[5].calls - before).To(gomega.BeNumerically("<=", 12))
+		z.Expect(z.instances[5].storeCalls() - before).To(gomega.BeNumerically("<=", 12))
 		for k := range zoneFollowers {
 			z.instances[k].set(func() { z.instances[k].frozen, z.instances[k].cutOff = false, false })
 		}
 		time.Sleep(10 * time.Second)
-		before = z.instances[5].calls
+		before = z.instances[5].storeCalls()
 		z.remove("r/a")
 		time.Sleep(inForce)
 		z.expectUsable("b c")
-		z.Expect(z.instances[5].calls).To(gomega.Equal(before), "sources are used again")
+		z.Expect(z.instances[5].storeCalls()).To(gomega.Equal(before), "sources are used again")
 	})
 }
 
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -71,11 +71,15 @@
 	revisions map[string]int64
 }
 
-func withFixture(t *testing.T, test func(f *fixture)) {
+func withFixture(t *testing.T, test func(f *fixture)) { withStore(t, &store{}, test) }
+
+// withStore is withFixture with a store that has its faults from the start.
+func withStore(t *testing.T, faulty *store, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{
-			WithT: gomega.NewWithT(t), store: &store{Store: memtopo.New(nil)}, replicas: upstream.NewRegistry(), revisions: make(map[string]int64),
+			WithT: gomega.NewWithT(t), store: faulty, replicas: upstream.NewRegistry(), revisions: make(map[string]int64),
 		}
+		f.store.Store = memtopo.New(nil)
 		f.watcher = discovery.New(discovery.Options{Store: f.store, Replicas: f.replicas, Format: discovery.Format{
 			TableKey: "routes", ReplicaPrefix: "r/",
 			DecodeTable: func(value []byte) (*traffic.Table, error) {
@@ -230,8 +234,7 @@
 		version, data = f.watcher.EncodeSnapshot()
 		f.Expect(version).To(gomega.BeEquivalentTo(3))
 	})
-	withFixture(t, func(f *fixture) {
-		f.store.set(func() { f.store.unavailable = true })
+	withStore(t, &store{unavailable: true}, func(f *fixture) {
 		time.Sleep(5 * time.Second)
 		f.Expect(f.watcher.ApplySnapshot(time.Now(), []byte("odd"))).NotTo(gomega.Succeed())
 		f.Expect(f.watcher.ApplySnapshot(time.Now(), data)).To(gomega.Succeed())
