stages: the next change follows as soon as a replica is back

Cause: a replica counted as changing for six seconds after its order, and a plan that had to wait for it had to be stable for two seconds again.

Change: a replica that is listed in the ordered stage no longer counts, and a plan stays due while it waits.

Test: TestNextChangeFollowsWhenAReplicaIsBack, 8 s before, at most 4 s now.

--- a/stages/controller.go
+++ b/stages/controller.go
@@ -22,7 +22,8 @@
 	stableTime = 2 * time.Second
 	// orderTimeout bounds an order, which is up to two calls to a replica.
 	orderTimeout = time.Second
-	// maxChangeTime is the longest time for which a replica counts as changing after an order.
+	// maxChangeTime is the longest time for which a replica counts as changing after an order. It no longer does once it
+	// is listed in the ordered stage.
 	maxChangeTime = 6 * time.Second
 	// minOrderInterval is the least time between two orders to one incarnation of a replica: an order without a
 	// response can be executed seconds later.
@@ -46,15 +47,21 @@
 type Controller struct {
 	opts   Options
 	holder *LeaseHolder
-	// orderedAt is the time of the last order to each incarnation of a replica.
-	orderedAt map[upstream.Incarnation]time.Time
+	// ordered is the last order to each incarnation of a replica.
+	ordered map[upstream.Incarnation]givenOrder
 	// neededSince is the time since which changes have been due, zero if none are.
 	neededSince time.Time
 }
 
+// givenOrder is an order that was given to a replica.
+type givenOrder struct {
+	at    time.Time
+	stage upstream.Stage
+}
+
 // NewController returns a controller that does nothing until Run.
 func NewController(opts Options) *Controller {
-	return &Controller{opts: opts, holder: NewLeaseHolder(opts.Store, opts.Name), orderedAt: make(map[upstream.Incarnation]time.Time)}
+	return &Controller{opts: opts, holder: NewLeaseHolder(opts.Store, opts.Name), ordered: make(map[upstream.Incarnation]givenOrder)}
 }
 
 // Run plans and orders changes until the context ends and then releases the authority.
@@ -65,11 +72,13 @@
 		if c.holder.Fence() != 0 && !c.holder.Renew(ctx) {
 			eventAuthorityLost.Log(ctx, c.opts.Logger)
 		}
-		changes := c.dueChanges(now)
+		changes, planned := c.dueChanges(now)
 		switch {
-		case len(changes) == 0:
+		case !planned:
 			c.neededSince = time.Time{}
 			continue
+		case len(changes) == 0:
+			continue
 		case c.neededSince.IsZero():
 			c.neededSince, nextCampaign = now, now.Add(stableTime+campaignJitter())
 		}
@@ -86,7 +95,7 @@
 		}
 		for _, change := range changes {
 			if c.holder.MayOrder(time.Now()) {
-				c.order(ctx, change)
+				c.giveOrder(ctx, change)
 			}
 		}
 	}
@@ -97,30 +106,31 @@
 	}
 }
 
-// dueChanges returns the planned changes that the limits on concurrent changes and on repeated orders allow now.
-func (c *Controller) dueChanges(now time.Time) []Change {
+// dueChanges returns the planned changes that the limits on concurrent changes and on repeated orders allow now, and
+// whether any were planned.
+func (c *Controller) dueChanges(now time.Time) (due []Change, planned bool) {
 	table := c.opts.Table()
 	if table == nil {
-		return nil
+		return nil, false
 	}
-	maps.DeleteFunc(c.orderedAt, func(_ upstream.Incarnation, at time.Time) bool { return now.Sub(at) > minOrderInterval })
-	var due []Change
+	maps.DeleteFunc(c.ordered, func(_ upstream.Incarnation, o givenOrder) bool { return now.Sub(o.at) > minOrderInterval })
 	for _, service := range table.Services {
 		replicas := c.opts.Replicas.Available(service.Name)
 		budget := MaxConcurrentChanges(len(replicas))
 		for _, r := range replicas {
-			if at, found := c.orderedAt[r.Incarnation()]; found && now.Sub(at) < maxChangeTime {
+			if o, found := c.ordered[r.Incarnation()]; found && now.Sub(o.at) < maxChangeTime && r.Stage != o.stage {
 				budget--
 			}
 		}
 		for _, change := range Plan(&service, replicas) {
-			if _, recent := c.orderedAt[change.Replica.Incarnation()]; !recent && budget > 0 {
+			planned = true
+			if _, recent := c.ordered[change.Replica.Incarnation()]; !recent && budget > 0 {
 				due = append(due, change)
 				budget--
 			}
 		}
 	}
-	return due
+	return due, planned
 }
 
 func (c *Controller) campaign(ctx context.Context) {
@@ -133,11 +143,11 @@
 	}
 }
 
-// order gives one order, unless the replica already has the stage. Whatever its result, it is not repeated before
+// giveOrder gives one order, unless the replica already has the stage. Whatever its result, it is not repeated before
 // minOrderInterval has passed.
-func (c *Controller) order(ctx context.Context, change Change) {
+func (c *Controller) giveOrder(ctx context.Context, change Change) {
 	r := change.Replica
-	c.orderedAt[r.Incarnation()] = time.Now()
+	c.ordered[r.Incarnation()] = givenOrder{at: time.Now(), stage: change.Stage}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sequence, stage, err := c.opts.Client.Sequence(call, r)
