--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -25,6 +25,8 @@
 	floor, revision int64
 	// confirmedAt is when the store last responded to this instance itself.
 	confirmedAt time.Time
+	// lost is set while calls of this instance to the store fail.
+	lost bool
 	// changed is closed and replaced when the feed changes.
 	changed chan struct{}
 }
@@ -58,7 +60,17 @@
 func (f *feed) confirm(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.confirmedAt = now
+	f.confirmedAt, f.lost = now, false
+}
+
+// lose records that calls to the store fail, so that peers ask another source at once.
+func (f *feed) lose() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lost {
+		f.lost = true
+		f.notify()
+	}
 }
 
 func (f *feed) notify() {
@@ -69,18 +81,21 @@
 // wait returns the changes after a revision as soon as there are any, or none when the wait is over. It returns
 // ErrNotFollowing if the feed cannot vouch for them.
 func (f *feed) wait(ctx context.Context, after int64, wait time.Duration) (*Changes, error) {
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
-	for over := false; ; {
-		changes, changed, err := f.since(time.Now(), after)
-		if err != nil || over || changes.Revision > after {
+	end := time.Now().Add(wait)
+	for {
+		now := time.Now()
+		changes, changed, err := f.since(now, after)
+		if err != nil || !now.Before(end) || changes.Revision > after {
 			return changes, err
 		}
+		timeout := time.NewTimer(min(end.Sub(now), maxRelayAge-changes.Age+time.Millisecond))
 		select {
 		case <-changed:
 		case <-timeout.C:
-			over = true
 		case <-ctx.Done():
+		}
+		timeout.Stop()
+		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
 	}
@@ -91,7 +106,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := now.Sub(f.confirmedAt)
-	if f.confirmedAt.IsZero() || age > maxRelayAge || after < f.floor {
+	if f.lost || f.confirmedAt.IsZero() || age > maxRelayAge || after < f.floor {
 		return nil, nil, ErrNotFollowing
 	}
 	// The caller may know more, from a source that is ahead of this one.
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -20,7 +20,7 @@
 const (
 	// watchWait is the longest wait of one watch. A connection that stopped carrying data is only noticed at the end of
 	// the watch, so it is well below the time within which a change must be in force.
-	watchWait = 2500 * time.Millisecond
+	watchWait = 1500 * time.Millisecond
 	// batchPause is the pause between a change and the next watch. Changes come in groups, and without the pause each
 	// change would cost every instance a call. It is well below the time within which a change must be in force.
 	batchPause = 250 * time.Millisecond
@@ -44,7 +44,7 @@
 	startPause = time.Second
 	// directRetry is the mean pause between the calls to the store of an instance whose sources all fail. The sources may
 	// fail for all instances at the same time, and the store may be one that only turns some instances away.
-	directRetry = 2 * time.Second
+	directRetry = time.Second
 )
 
 // errNoSource means that no source has changes to pass on, and that it is too early for a call to the store itself.
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -241,3 +241,30 @@
 		z.expectUsable("a")
 	})
 }
+
+// Guards against instances that go on using a replica whose entry was removed, because the store turns away just the
+// instances through which they follow it, or because they take that for an outage of the store.
+func TestRemovedReplicaIsDroppedBehindSourcesThatAreTurnedAway(t *testing.T) {
+	withZone(t, 12, func(z *zoneFixture) {
+		time.Sleep(6 * time.Second)
+		z.put("r/a", "ready")
+		z.put("r/b", "ready")
+		time.Sleep(inForce)
+		z.expectUsable("a b")
+		for k := range zoneFollowers {
+			z.instances[k].set(func() { z.instances[k].cutOff = true })
+		}
+		z.remove("r/a")
+		time.Sleep(4 * time.Second)
+		for n := range 10 {
+			key := fmt.Sprintf("r/c%d", n)
+			z.put(key, "ready")
+			time.Sleep(inForce + time.Duration(n)*100*time.Millisecond)
+			z.remove(key)
+			time.Sleep(inForce)
+			for _, i := range z.instances[zoneFollowers:] {
+				z.Expect(i.usable()).To(gomega.Equal("b"), "instance %d, round %d", i.index, n)
+			}
+		}
+	})
+}
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -83,9 +83,6 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.failures >= outageFailures {
-		return nil, ErrNotFollowing
-	}
 	changes.KeepMissing = max(0, time.Until(w.keepMissingUntil))
 	return changes, nil
 }
@@ -154,7 +151,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !ok {
-		w.failures++
+		if w.failures++; w.failures >= outageFailures {
+			w.feed.lose()
+		}
 		return
 	}
 	if w.failures >= outageFailures {
