entry: log the prompt segments of requests whose replica crashed

Event 303 now lists the segments that other requests can share, and fingerprints are logged in hexadecimal digits as in the state dump. Prompt.SharedSegments replaces the expression that package place had for it. No decision changes.

--- a/entry/events.go
+++ b/entry/events.go
@@ -14,7 +14,8 @@
 	eventPrefillFailed = event.New(302, "prefill elsewhere failed", slog.LevelWarn,
 		"A remote prefill or the KV cache handoff failed. The engine that decodes processes the prompt itself.")
 	eventEngineCrashed = event.New(303, "engine crashed", slog.LevelError,
-		"An engine or replica broke off a response and has restarted since, or accepts no connections.")
+		"An engine or replica broke off a response and has restarted since, or accepts no connections. For routed requests, "+
+			"segments lists the parts of the prompt that other requests can share.")
 	eventEngineLeaving = event.New(304, "engine leaving", slog.LevelInfo,
 		"An engine refused a request because it is draining. The peers are notified.")
 	eventUpstreamEjected = event.New(305, "upstream ejected", slog.LevelWarn,
--- a/entry/routed_suspects.go
+++ b/entry/routed_suspects.go
@@ -50,12 +50,21 @@
 	case errors.Is(err, relay.ErrIncompleteResponse) && !errors.Is(err, relay.ErrResponseMismatch) && x.routing.Pool.ConnectionRefused(ctx, attempt.Replica.Address):
 		x.server.metrics.crashes.Inc(1)
 		eventEngineCrashed.Log(ctx, x.server.opts.Logger, slog.String("request", x.call.ID), logUpstream(attempt.Replica.ID),
-			slog.Any("fingerprint", x.fingerprint))
+			slog.Any("fingerprint", x.fingerprint), slog.Any("segments", segmentIDs(&x.call.Prompt)))
 		tracked.RecordCrash(time.Now())
 	}
 	return err
 }
 
+// segmentIDs returns the IDs of the segments that the prompt may share with other requests.
+func segmentIDs(prompt *relay.Prompt) []suspect.Segment {
+	var ids []suspect.Segment
+	for _, segment := range prompt.SharedSegments() {
+		ids = append(ids, suspect.Segment(segment.ID))
+	}
+	return ids
+}
+
 // fingerprintOf identifies a request by the content that could crash a replica.
 func fingerprintOf(call *relay.Call) suspect.Fingerprint {
 	return suspect.ContentFingerprint(call.Method, call.Target, call.Host, string(call.Body))
--- a/place/preferred.go
+++ b/place/preferred.go
@@ -32,10 +32,10 @@
 	return first, second
 }
 
-// sharedTokens returns the length of the segments that other requests can share: all but the last one.
+// sharedTokens returns the length of the segments that other requests can share.
 func sharedTokens(p *relay.Prompt) int {
 	tokens := 0
-	for _, segment := range p.Segments[:max(0, len(p.Segments)-1)] {
+	for _, segment := range p.SharedSegments() {
 		tokens += segment.Tokens
 	}
 	return tokens
--- a/relay/call.go
+++ b/relay/call.go
@@ -34,6 +34,10 @@
 	Segments []PromptSegment
 }
 
+// SharedSegments returns the segments that other requests can share: all but the last one, which belongs to one request
+// or session.
+func (p *Prompt) SharedSegments() []PromptSegment { return p.Segments[:max(0, len(p.Segments)-1)] }
+
 // PromptSegment is a segment of a prompt. Its ID is derived from its content.
 type PromptSegment struct {
 	ID     uint64
--- a/suspect/fingerprint.go
+++ b/suspect/fingerprint.go
@@ -36,3 +36,6 @@
 
 // String returns the fingerprint in hexadecimal digits.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// MarshalText implements encoding.TextMarshaler, so that logs hold the same text as the state dump.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
