--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -20,16 +20,23 @@
 fi
 # Builds with the flags of deploy/system.toml.
 $GO build -ldflags=-linkmode=external -o target/ ./cmd/rhubarbpoint
+# Known failures that CI passes over. The other entries of KNOWN-RED.txt have no test, or fail too rarely to be excused.
+red=$(sed -n 's/^\(Test[A-Za-z0-9_]*\) |.*| CI passes over it$/\1/p' KNOWN-RED.txt | paste -sd '|' -)
+if [ -n "$red" ]; then
+	echo "known failures, not run (KNOWN-RED.txt):"
+	grep -E "^($red) " KNOWN-RED.txt
+fi
+skip="^(${red:-none})\$"
 # The runtime of the race detector crashes in tests in virtual time on several processors, so their packages run on one.
 virtual=$(git grep -l '"testing/synctest"' -- '*_test.go' | xargs -n1 dirname | sort -u | sed 's|^|./|')
 others=$($GO list ./... | grep -vxF "$(for package in $virtual; do $GO list "$package"; done)")
 # -count=1 disables the test cache, which does not know the programs that the tests of internal/fleet run.
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
-$GO test -race -cpu 1 -count=1 -timeout 20m $virtual >"$log" 2>&1 &
+$GO test -race -cpu 1 -count=1 -timeout 20m -skip "$skip" $virtual >"$log" 2>&1 &
 virtual_run=$!
 status=0
-$GO test -race -count=1 -timeout 20m $others || status=$?
+$GO test -race -count=1 -timeout 20m -skip "$skip" $others || status=$?
 wait "$virtual_run" || status=$?
 cat "$log"
 exit "$status"
