suspect: refuse requests with a prompt segment that crashes replicas

Cause: a request was identified as a whole, by host, path and body. The class: evidence that is filed under too narrow an identity never adds up.

Change: SegmentTable counts crashes for each prompt segment that requests can share. An answer disproves the crashes of its segments, and a crash that one segment explains does not count against those that ran beside it. Instances share the evidence with the suspicions in the store, and a restarted instance takes over what its key held, which its first write removed before.

--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -16,6 +16,7 @@
 	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/member"
 	"rhubarbpoint/operator"
+	"rhubarbpoint/peer/peerpb"
 	"rhubarbpoint/place"
 	"rhubarbpoint/platform"
 	"rhubarbpoint/relay"
@@ -70,7 +71,8 @@
 	})
 	r.store = platform.New(s.Platform, r.metrics)
 	shared := newSuspicions(r.store, s.Instance, logger)
-	shared.table = suspect.New(suspect.Options{Self: member.NewID(s.Instance), Publish: shared.scheduleWrite, Logger: logger})
+	shared.table = suspect.New(suspect.Options{Self: member.NewID(s.Instance), Publish: func(*peerpb.Suspicion) { shared.scheduleWrite() }, Logger: logger})
+	shared.segments = suspect.NewSegmentTable(suspect.SegmentOptions{OnChange: shared.scheduleWrite, Logger: logger})
 	r.suspicions = shared
 	relay := &storeRelay{region: s.Region, zone: s.Zone}
 	r.discovery = discovery.New(discovery.Options{
@@ -90,7 +92,7 @@
 	})
 	r.server = entry.NewServer(entry.Options{
 		Document: func() *config.Document { return nil }, Region: s.Region, Health: retry.NewHealth(), Metrics: r.metrics, Logger: logger,
-		Suspects: shared.table,
+		Suspects: shared.table, Segments: shared.segments,
 		Routing: &entry.Routing{
 			Table: r.discovery.Table, Replicas: r.replicas, Balancer: r.balancer, Dialect: platform.Dialect{}, Pool: r.pool,
 			Budgets: retry.NewServiceBudgets(s.RetryShare, s.RetryWindow.D()),
--- a/daemon/suspicions.go
+++ b/daemon/suspicions.go
@@ -28,14 +28,15 @@
 	maxSharedSuspicions = 1000
 )
 
-// suspicions shares the suspect requests that an instance knows of through the platform's store. All instances receive
-// the keys with the watch that they hold for routes and replicas.
+// suspicions shares the suspect requests and the prompt segments blamed for crashes that an instance knows of through
+// the platform's store. All instances receive the keys with the watch that they hold for routes and replicas.
 type suspicions struct {
-	store   topo.Store
-	key     string
-	table   *suspect.Table
-	logger  *slog.Logger
-	pending chan struct{}
+	store    topo.Store
+	key      string
+	table    *suspect.Table
+	segments *suspect.SegmentTable
+	logger   *slog.Logger
+	pending  chan struct{}
 
 	revision int64 // of this instance's key as last seen
 	written  int   // number of records in the last written value
@@ -46,16 +47,17 @@
 }
 
 // scheduleWrite makes run write the suspicions. It does not block.
-func (s *suspicions) scheduleWrite(*peerpb.Suspicion) {
+func (s *suspicions) scheduleWrite() {
 	select {
 	case s.pending <- struct{}{}:
 	default:
 	}
 }
 
-// merge merges the suspicions of another instance.
+// merge merges the suspicions of another instance, and the segments that an earlier process of this instance shared.
+// The next write would otherwise remove them from the store.
 func (s *suspicions) merge(now time.Time, entry topo.Entry) {
-	if !strings.HasPrefix(entry.Key, suspicionPrefix) || entry.Key == s.key || entry.Value == nil {
+	if !strings.HasPrefix(entry.Key, suspicionPrefix) || entry.Value == nil {
 		return
 	}
 	records := &peerpb.Records{}
@@ -63,6 +65,11 @@
 		eventSuspicionsUnreadable.Log(context.Background(), s.logger, slog.String("key", entry.Key), slog.String("error", err.Error()))
 		return
 	}
+	own := entry.Key == s.key
+	s.segments.Merge(now, records.Segments, own)
+	if own {
+		return
+	}
 	for _, record := range records.Suspicions {
 		s.table.Merge(now, record)
 	}
@@ -80,28 +87,33 @@
 		if !sleep.For(ctx, suspicionWriteDelay) {
 			return
 		}
-		records := s.table.Records(time.Now())
-		records = records[:min(len(records), maxSharedSuspicions)]
-		if len(records) == 0 && s.written == 0 {
+		requests := s.table.Records(time.Now())
+		records := &peerpb.Records{
+			Suspicions: requests[:min(len(requests), maxSharedSuspicions)], Segments: s.segments.Records(time.Now()),
+		}
+		n := len(records.Suspicions) + len(records.Segments)
+		if n == 0 && s.written == 0 {
 			continue
 		}
 		if err := s.write(ctx, records); err != nil {
-			eventSuspicionsNotShared.Log(ctx, s.logger, slog.Int("records", len(records)), slog.String("error", err.Error()))
-			s.scheduleWrite(nil)
+			eventSuspicionsNotShared.Log(ctx, s.logger, slog.Int("records", n), slog.String("error", err.Error()))
+			s.scheduleWrite()
+			continue
 		}
+		s.written = n
 	}
 }
 
-func (s *suspicions) write(ctx context.Context, records []*peerpb.Suspicion) error {
+func (s *suspicions) write(ctx context.Context, records *peerpb.Records) error {
 	ctx, cancel := context.WithTimeout(ctx, suspicionWriteTimeout)
 	defer cancel()
-	value, err := proto.Marshal(&peerpb.Records{Suspicions: records})
+	value, err := proto.Marshal(records)
 	if err != nil {
 		return errors.Wrap(err, "daemon: suspicions")
 	}
 	revision, err := s.store.Put(ctx, s.key, value, s.revision, 0)
 	if err == nil {
-		s.revision, s.written = revision, len(records)
+		s.revision = revision
 		return nil
 	}
 	// The key may have been written by an earlier process of this instance, or by a write whose response was lost.
--- a/daemon/suspicions_test.go
+++ b/daemon/suspicions_test.go
@@ -5,8 +5,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
 
+	"rhubarbpoint/peer/peerpb"
 	"rhubarbpoint/suspect"
 	"rhubarbpoint/topo"
 	"rhubarbpoint/topo/memtopo"
@@ -23,43 +25,94 @@
 	return memtopo.Fault{LoseResponse: true}
 }
 
+// suspicionFleet is a number of instances that share their suspicions through one store.
+type suspicionFleet struct {
+	gomega.Gomega
+	t         *testing.T
+	store     *memtopo.Store
+	instances []*suspicions
+}
+
+func newSuspicionFleet(t *testing.T, lose int, names ...string) *suspicionFleet {
+	f := &suspicionFleet{Gomega: gomega.NewWithT(t), t: t, store: memtopo.New(&lossy{lose})}
+	for _, name := range names {
+		f.start(name)
+	}
+	return f
+}
+
+func (f *suspicionFleet) start(name string) *suspicions {
+	s := newSuspicions(f.store, name, nil)
+	s.table = suspect.New(suspect.Options{Self: name, Publish: func(*peerpb.Suspicion) { s.scheduleWrite() }})
+	s.segments = suspect.NewSegmentTable(suspect.SegmentOptions{OnChange: s.scheduleWrite})
+	f.instances = append(f.instances, s)
+	go s.run(f.t.Context())
+	return s
+}
+
+// share waits for the instances to write and gives each of them all entries of the store.
+func (f *suspicionFleet) share() {
+	time.Sleep(3 * time.Second)
+	entries, _, err := f.store.List(f.t.Context(), "")
+	f.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, s := range f.instances {
+		for _, entry := range entries {
+			s.merge(time.Now(), entry)
+		}
+	}
+}
+
+func (f *suspicionFleet) crash(s *suspicions, incarnation string, segment suspect.Segment) {
+	attempt, err := s.segments.Begin(time.Now(), incarnation, []suspect.Segment{segment})
+	f.Expect(err).NotTo(gomega.HaveOccurred())
+	attempt.End(time.Now(), suspect.Crashed)
+}
+
 // Guards against a request that can crash one replica per instance: crashes seen by different instances must add up,
 // also when the response to a write is lost.
 func TestInstancesAddUpCrashes(t *testing.T) {
 	for _, lose := range []int{0, 2} {
 		synctest.Test(t, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			store := memtopo.New(&lossy{lose})
+			fleet := newSuspicionFleet(t, lose, "a", "b", "c", "d")
 			f := suspect.ContentFingerprint("poison")
-			var instances []*suspicions
-			for _, name := range []string{"a", "b", "c", "d"} {
-				s := newSuspicions(store, name, nil)
-				s.table = suspect.New(suspect.Options{Self: name, Publish: s.scheduleWrite})
-				instances = append(instances, s)
-				go s.run(t.Context())
-			}
-			share := func() {
-				entries, _, err := store.List(t.Context(), "")
-				g.Expect(err).NotTo(gomega.HaveOccurred())
-				for _, s := range instances {
-					for _, entry := range entries {
-						s.merge(time.Now(), entry)
-					}
-				}
-			}
-			for i, s := range instances[:3] {
+			for i, s := range fleet.instances[:3] {
 				_, err := s.table.Check(time.Now(), f)
-				g.Expect(err).NotTo(gomega.HaveOccurred())
+				fleet.Expect(err).NotTo(gomega.HaveOccurred())
 				run, err := s.table.Begin(time.Now(), string(rune('x'+i)), f)
-				g.Expect(err).NotTo(gomega.HaveOccurred())
+				fleet.Expect(err).NotTo(gomega.HaveOccurred())
 				run.RecordCrash(time.Now())
 				run.End(time.Now())
-				time.Sleep(3 * time.Second)
-				share()
+				fleet.share()
 			}
-			for _, s := range instances {
+			for _, s := range fleet.instances {
 				_, err := s.table.Check(time.Now(), f)
-				g.Expect(err).To(gomega.MatchError(suspect.ErrRefused), s.key)
+				fleet.Expect(err).To(gomega.MatchError(suspect.ErrRefused), s.key)
+			}
+		})
+	}
+}
+
+// Guards against a segment that crashes replicas once for each instance, or again after the instance that saw a crash
+// has restarted and written its key anew.
+func TestInstancesAddUpCrashesOfASegment(t *testing.T) {
+	const bad, other suspect.Segment = 0xbad, 0xa
+	for _, lose := range []int{0, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := newSuspicionFleet(t, lose, "a", "b", "c")
+			for i, s := range fleet.instances {
+				fleet.crash(s, string(rune('x'+i)), bad)
+				fleet.share()
+			}
+			for _, name := range []string{"a", "b", "c"} {
+				restarted := fleet.start(name)
+				fleet.share()
+				fleet.crash(restarted, "another crash at "+name, other)
+				fleet.share()
+			}
+			fleet.start("d")
+			fleet.share()
+			for _, s := range fleet.instances {
+				fleet.Expect(errors.Is(s.segments.Check(time.Now(), []suspect.Segment{bad}), suspect.ErrRefused)).To(gomega.BeTrue(), s.key)
 			}
 		})
 	}
--- a/entry/options.go
+++ b/entry/options.go
@@ -30,8 +30,9 @@
 	Admitter admit.Admitter
 	// Orders runs non-idempotent requests to plain services; without it they are refused.
 	Orders claim.Runner
-	// Suspects, Health and Budget default to new ones.
+	// Suspects, Segments, Health and Budget default to new ones.
 	Suspects *suspect.Table
+	Segments *suspect.SegmentTable
 	Health   *retry.Health
 	Budget   *retry.Budget
 	// OnLeaving is called with an engine that refused a request because it is leaving. It may be called concurrently.
@@ -60,6 +61,9 @@
 	if o.Suspects == nil {
 		o.Suspects = suspect.New(suspect.Options{Self: "entry", Logger: o.Logger})
 	}
+	if o.Segments == nil {
+		o.Segments = suspect.NewSegmentTable(suspect.SegmentOptions{Logger: o.Logger})
+	}
 	if o.Health == nil {
 		o.Health = retry.NewHealth()
 	}
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -77,7 +77,7 @@
 	if bodyErr := x.readBody(w, r, table.Limits.MaxBodyBytes); bodyErr != nil {
 		return bodyErr
 	}
-	x.fingerprint = fingerprintOf(call)
+	x.fingerprint, x.segments = fingerprintOf(call), segmentIDs(&call.Prompt)
 	return x.run(ctx)
 }
 
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -37,7 +37,9 @@
 	request pipeline.Request
 
 	fingerprint suspect.Fingerprint
-	deadline    time.Time
+	// segments are those of the prompt that other requests can share.
+	segments []suspect.Segment
+	deadline time.Time
 	// prefills counts the remote prefills of the request.
 	prefills int
 	// cacheHandle names the KV cache of the processed prompt, cacheSource is the replica that holds it; nil if there is
@@ -49,6 +51,8 @@
 	// response is the last buffered response. An error response is passed on to the caller if no later attempt gets a
 	// better one.
 	response *bufferedResponse
+	// closeDelimited reports whether only the end of the connection marked the end of the last response.
+	closeDelimited bool
 	// headerWritten is set once the header of a stream has been written, lastEvent is the ID of the last event that the
 	// caller has, or -1.
 	headerWritten bool
@@ -151,6 +155,7 @@
 		return err
 	}
 	defer ex.Close()
+	x.closeDelimited = !ex.Delimited()
 	if load := ex.Info().Load; load != nil {
 		balancer.UpdateLoad(time.Now(), attempt.Replica, load)
 	}
--- a/entry/routed_finish.go
+++ b/entry/routed_finish.go
@@ -48,7 +48,7 @@
 	var busy *place.BusyError
 	switch {
 	case errors.Is(err, suspect.ErrRefused), errors.Is(err, suspect.ErrWait):
-		return failure(sent, unavailableStatus(sent), codeSuspectRefused, "the request has crashed several replicas").withRetryAfter(suspectRetryAfter)
+		return failure(sent, unavailableStatus(sent), codeSuspectRefused, "the request or a part of its prompt has crashed several replicas").withRetryAfter(suspectRetryAfter)
 	case errors.As(err, &busy):
 		return failure(sent, unavailableStatus(sent), codeTooLate, "the replicas have too much work before this request").
 			withRetryAfter(retry.RetryAfter(busy.Excess, rand.Float64))
--- a/entry/routed_suspects.go
+++ b/entry/routed_suspects.go
@@ -18,8 +18,12 @@
 const suspectRetryAfter = 5 * time.Second
 
 // allowedReplicas returns the replicas that the request may run on. A suspect request must avoid replicas that run
-// other suspects. allowedReplicas returns an error if the suspect must not run at present.
+// other suspects. allowedReplicas returns an error if the suspect must not run at present, or if a segment of the prompt
+// crashes replicas.
 func (x *routedExchange) allowedReplicas(now time.Time, replicas []*upstream.Replica) ([]*upstream.Replica, error) {
+	if err := x.server.opts.Segments.Check(now, x.segments); err != nil {
+		return nil, errors.Mark(err, pipeline.ErrFinal)
+	}
 	avoid, err := x.server.opts.Suspects.Check(now, x.fingerprint)
 	if err != nil {
 		return nil, errors.Mark(err, pipeline.ErrFinal)
@@ -43,19 +47,45 @@
 		return errors.Mark(errors.Mark(err, pipeline.ErrNotSent), pipeline.ErrFinal)
 	}
 	defer func() { tracked.End(time.Now()) }()
+	prompt, err := x.server.opts.Segments.Begin(time.Now(), upstream.Key(attempt.Replica), x.segments)
+	if err != nil {
+		return errors.Mark(errors.Mark(err, pipeline.ErrNotSent), pipeline.ErrFinal)
+	}
+	result := suspect.Unresolved
+	defer func() { prompt.End(time.Now(), result) }()
 	err = x.send(ctx, attempt, uncached)
 	switch {
-	case err == nil, errors.Is(err, errServerError):
+	case err == nil:
 		tracked.RecordSuccess(time.Now())
-	case errors.Is(err, relay.ErrIncompleteResponse) && !errors.Is(err, relay.ErrResponseMismatch) && x.routing.Pool.ConnectionRefused(ctx, attempt.Replica.Address):
+		if x.certainlyComplete(ctx, attempt.Replica) {
+			result = suspect.Answered
+		}
+	case errors.Is(err, errServerError):
+		tracked.RecordSuccess(time.Now())
+	case errors.Is(err, relay.ErrNotSent), errors.Is(err, relay.ErrRefused):
+		result = suspect.NotRun
+	case errors.Is(err, relay.ErrIncompleteResponse) && !errors.Is(err, relay.ErrResponseMismatch) && x.replicaGone(ctx, attempt.Replica):
 		x.server.metrics.crashes.Inc(1)
 		eventEngineCrashed.Log(ctx, x.server.opts.Logger, slog.String("request", x.call.ID), logUpstream(attempt.Replica.ID),
-			slog.Any("fingerprint", x.fingerprint), slog.Any("segments", segmentIDs(&x.call.Prompt)))
+			slog.Any("fingerprint", x.fingerprint), slog.Any("segments", x.segments))
 		tracked.RecordCrash(time.Now())
+		result = suspect.Crashed
 	}
 	return err
 }
 
+// replicaGone reports whether the replica's address refuses connections. It does so even if the caller has left,
+// because other requests need the result as well.
+func (x *routedExchange) replicaGone(ctx context.Context, replica *upstream.Replica) bool {
+	return x.routing.Pool.ConnectionRefused(context.WithoutCancel(ctx), replica.Address)
+}
+
+// certainlyComplete reports whether a response that looks complete is. One that ends with its connection looks complete
+// also if the replica crashed between two events.
+func (x *routedExchange) certainlyComplete(ctx context.Context, replica *upstream.Replica) bool {
+	return !x.closeDelimited || len(x.segments) == 0 || !x.replicaGone(ctx, replica)
+}
+
 // segmentIDs returns the IDs of the segments that the prompt may share with other requests.
 func segmentIDs(prompt *relay.Prompt) []suspect.Segment {
 	var ids []suspect.Segment
--- /dev/null
+++ b/suspect/segment_record.go
@@ -0,0 +1,91 @@
+package suspect
+
+import "time"
+
+// maxCrashesPerSegment bounds the crashes that a record holds. A segment is refused long before.
+const maxCrashesPerSegment = 32
+
+// crashID identifies the crash of one incarnation of an engine. Instances that see the same crash use the same ID.
+type crashID uint64
+
+// crashSet is a set of crashes.
+type crashSet map[crashID]struct{}
+
+func (s crashSet) has(id crashID) bool {
+	_, found := s[id]
+	return found
+}
+
+// add adds a crash and reports whether it is new. A full set stays as it is.
+func (s crashSet) add(id crashID) bool {
+	if s.has(id) || len(s) >= maxCrashesPerSegment {
+		return false
+	}
+	s[id] = struct{}{}
+	return true
+}
+
+func (s crashSet) equal(other crashSet) bool {
+	if len(s) != len(other) {
+		return false
+	}
+	for id := range s {
+		if !other.has(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// segmentRecord holds the evidence about one segment. Both sets only grow, so that the records of several instances can
+// be merged in any order and more than once.
+type segmentRecord struct {
+	// crashes are those of engines that ran a request with the segment, except for the disproved ones.
+	crashes crashSet
+	// disproved are crashes after which an engine has answered a request with the segment.
+	disproved crashSet
+	// answered is set if an engine has ever answered a request with the segment.
+	answered bool
+	// own is set if this instance, or an earlier process of it, has contributed to the record and shares it.
+	own bool
+	// shared is set once the record has been returned for the other instances.
+	shared bool
+	// changed is when the latest crash was added, on the clock of this process.
+	changed time.Time
+	// changedUnixMilli is when the latest crash was recorded, on the clock of the instance that recorded it.
+	changedUnixMilli int64
+}
+
+func newSegmentRecord() *segmentRecord {
+	return &segmentRecord{crashes: make(crashSet), disproved: make(crashSet)}
+}
+
+// addCrash adds a crash unless it is disproved. It reports whether the crash is new.
+func (r *segmentRecord) addCrash(now time.Time, id crashID, atUnixMilli int64) bool {
+	if r.disproved.has(id) || !r.crashes.add(id) {
+		return false
+	}
+	r.changed, r.changedUnixMilli = now, max(r.changedUnixMilli, atUnixMilli)
+	return true
+}
+
+// disprove moves a crash to the disproved ones. It reports whether the crash counted until then.
+func (r *segmentRecord) disprove(id crashID) bool {
+	r.disproved.add(id)
+	counted := r.crashes.has(id)
+	delete(r.crashes, id)
+	return counted
+}
+
+func (r *segmentRecord) expired(now time.Time) bool { return now.Sub(r.changed) >= suspicionTTL }
+
+// unexplained returns the number of crashes that are not in a set.
+func (r *segmentRecord) unexplained(explained crashSet) int {
+	n := 0
+	for id := range r.crashes {
+		if !explained.has(id) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/suspect/segment_table.go
@@ -0,0 +1,243 @@
+package suspect
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// unresolvedTTL is how long an attempt without an answer may still turn out to have run on an engine that crashed.
+	// Its caller may leave before the crash is noticed, and another instance may be the one that notices it.
+	unresolvedTTL = 3 * time.Second
+	// maxSegments bounds the records; the one with the oldest crash is evicted first.
+	maxSegments = 10_000
+)
+
+// SegmentOptions configure a SegmentTable.
+type SegmentOptions struct {
+	// OnChange is called after a change that other instances should learn. It is called without the table's lock and
+	// must not block. It may be nil.
+	OnChange func()
+	Logger   *slog.Logger
+}
+
+// SegmentTable finds the segments of prompts that crash engines, whatever else the prompts hold, and refuses requests
+// that have them. It is safe for concurrent use.
+type SegmentTable struct {
+	opts SegmentOptions
+
+	mu      sync.Mutex
+	records map[Segment]*segmentRecord
+	// refused is findCrashingSegments of records.
+	refused  map[Segment]bool
+	answered recentSegments
+	// attempts holds those that run and the unresolved ones, by the crash that would explain them.
+	attempts map[crashID]map[*SegmentAttempt]struct{}
+	// crashed holds the known crashes and when this process learned of them.
+	crashed  map[crashID]time.Time
+	prunedAt time.Time
+}
+
+// NewSegmentTable returns an empty table.
+func NewSegmentTable(opts SegmentOptions) *SegmentTable {
+	return &SegmentTable{
+		opts: opts, records: make(map[Segment]*segmentRecord), refused: make(map[Segment]bool), answered: newRecentSegments(),
+		attempts: make(map[crashID]map[*SegmentAttempt]struct{}), crashed: make(map[crashID]time.Time),
+	}
+}
+
+// Check returns an error marked ErrRefused if a request has a segment that crashes engines.
+func (t *SegmentTable) Check(now time.Time, segments []Segment) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.check(now, segments)
+}
+
+func (t *SegmentTable) check(now time.Time, segments []Segment) error {
+	for _, s := range segments {
+		if !t.refused[s] {
+			continue
+		}
+		rec := t.records[s]
+		if rec.expired(now) {
+			t.prune(now)
+			return t.check(now, segments)
+		}
+		return errors.Mark(errors.Newf("suspect: %d engines crashed with prompt segment %s, the last one %s ago", len(rec.crashes), s,
+			now.Sub(rec.changed).Round(time.Millisecond)), ErrRefused)
+	}
+	return nil
+}
+
+// Begin registers an attempt on an incarnation of an engine. It returns an error like Check. End must be called.
+func (t *SegmentTable) Begin(now time.Time, incarnation string, segments []Segment) (*SegmentAttempt, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.prunedAt) >= unresolvedTTL {
+		t.prune(now)
+	}
+	if err := t.check(now, segments); err != nil {
+		return nil, err
+	}
+	a := &SegmentAttempt{table: t, crash: crashID(xxhash.Sum64String(incarnation)), engine: incarnation, segments: segments}
+	if len(segments) > 0 {
+		if t.attempts[a.crash] == nil {
+			t.attempts[a.crash] = make(map[*SegmentAttempt]struct{})
+		}
+		t.attempts[a.crash][a] = struct{}{}
+	}
+	return a, nil
+}
+
+func (t *SegmentTable) end(now time.Time, a *SegmentAttempt, result AttemptResult) {
+	t.mu.Lock()
+	if !a.endedAt.IsZero() {
+		t.mu.Unlock()
+		return
+	}
+	a.endedAt = now
+	changed := &segmentChanges{}
+	_, crashed := t.crashed[a.crash]
+	switch {
+	case result == Answered:
+		t.acquit(a.segments, changed)
+		t.forget(a)
+	case result == NotRun:
+		t.forget(a)
+	case result == Crashed || crashed:
+		t.blame(now, a.crash, now.UnixMilli(), changed)
+	}
+	t.conclude(now, changed)
+	t.mu.Unlock()
+	t.report(changed)
+}
+
+// blame records a crash against the segments of all attempts that may have run on the engine.
+func (t *SegmentTable) blame(now time.Time, crash crashID, atUnixMilli int64, changed *segmentChanges) {
+	if _, known := t.crashed[crash]; !known {
+		t.crashed[crash] = now
+	}
+	for a := range t.attempts[crash] {
+		if !a.endedAt.IsZero() && now.Sub(a.endedAt) > unresolvedTTL {
+			continue
+		}
+		for _, s := range a.segments {
+			rec := t.recordFor(now, s)
+			if rec.addCrash(now, crash, atUnixMilli) {
+				rec.own = true
+				changed.blame(a.engine, s, len(rec.crashes))
+			}
+		}
+		t.forget(a)
+	}
+}
+
+// acquit disproves the crashes of segments that an engine has answered.
+func (t *SegmentTable) acquit(segments []Segment, changed *segmentChanges) {
+	for _, s := range segments {
+		t.answered.add(s)
+		rec := t.records[s]
+		if rec == nil {
+			continue
+		}
+		rec.answered = true
+		if len(rec.crashes) == 0 {
+			continue
+		}
+		changed.acquitted = append(changed.acquitted, s)
+		// The instances that share a record disprove its crashes themselves as soon as they get an answer. Only where the
+		// segment is refused may they get none.
+		if rec.own && rec.shared || t.refused[s] {
+			rec.own, changed.share = true, true
+		}
+		for id := range rec.crashes {
+			rec.disprove(id)
+		}
+	}
+}
+
+// conclude decides anew which segments are refused, if the evidence has changed.
+func (t *SegmentTable) conclude(now time.Time, changed *segmentChanges) {
+	if !changed.any() {
+		return
+	}
+	refused := findCrashingSegments(t.records)
+	for s := range refused {
+		if !t.refused[s] {
+			changed.refused = append(changed.refused, refusedSegment{s, len(t.records[s].crashes), now.Sub(t.records[s].changed)})
+		}
+	}
+	t.refused = refused
+}
+
+func (t *SegmentTable) forget(a *SegmentAttempt) {
+	delete(t.attempts[a.crash], a)
+	if len(t.attempts[a.crash]) == 0 {
+		delete(t.attempts, a.crash)
+	}
+}
+
+func (t *SegmentTable) recordFor(now time.Time, s Segment) *segmentRecord {
+	rec := t.records[s]
+	if rec == nil {
+		t.evictIfFull()
+		rec = newSegmentRecord()
+		rec.answered, rec.changed = t.answered.has(s), now
+		t.records[s] = rec
+	}
+	return rec
+}
+
+func (t *SegmentTable) evictIfFull() {
+	if len(t.records) < maxSegments {
+		return
+	}
+	var oldest Segment
+	var found *segmentRecord
+	for s, rec := range t.records {
+		if found == nil || rec.changed.Before(found.changed) {
+			oldest, found = s, rec
+		}
+	}
+	delete(t.records, oldest)
+}
+
+// prune removes what has expired.
+func (t *SegmentTable) prune(now time.Time) {
+	t.prunedAt = now
+	for _, attempts := range t.attempts {
+		for a := range attempts {
+			if !a.endedAt.IsZero() && now.Sub(a.endedAt) > unresolvedTTL {
+				t.forget(a)
+			}
+		}
+	}
+	for id, at := range t.crashed {
+		if now.Sub(at) >= suspicionTTL {
+			delete(t.crashed, id)
+		}
+	}
+	expired := false
+	for s, rec := range t.records {
+		if rec.expired(now) {
+			delete(t.records, s)
+			expired = true
+		}
+	}
+	if expired {
+		t.refused = findCrashingSegments(t.records)
+	}
+}
+
+// report logs changes and announces them to the other instances.
+func (t *SegmentTable) report(changed *segmentChanges) {
+	changed.log(context.Background(), t.opts.Logger)
+	if changed.share && t.opts.OnChange != nil {
+		t.opts.OnChange()
+	}
+}
--- /dev/null
+++ b/suspect/segment_table_test.go
@@ -0,0 +1,308 @@
+package suspect_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"rhubarbpoint/suspect"
+)
+
+const (
+	firstSegment    suspect.Segment = 0xa
+	otherSegment    suspect.Segment = 0xb
+	crashingSegment suspect.Segment = 0xbad
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// crash makes an attempt with each list of segments run on an incarnation when it crashes.
+func crash(g gomega.Gomega, t *suspect.SegmentTable, now time.Time, incarnation string, running ...[]suspect.Segment) {
+	var attempts []*suspect.SegmentAttempt
+	for _, segments := range running {
+		a, err := t.Begin(now, incarnation, segments)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		attempts = append(attempts, a)
+	}
+	for _, a := range attempts {
+		a.End(now, suspect.Crashed)
+	}
+}
+
+func answer(g gomega.Gomega, t *suspect.SegmentTable, now time.Time, segments ...suspect.Segment) {
+	a, err := t.Begin(now, "sound", segments)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	a.End(now, suspect.Answered)
+}
+
+func expectRefused(g gomega.Gomega, t *suspect.SegmentTable, now time.Time, segments ...suspect.Segment) {
+	g.ExpectWithOffset(1, errors.Is(t.Check(now, segments), suspect.ErrRefused)).To(gomega.BeTrue())
+}
+
+func newSegmentTable() *suspect.SegmentTable {
+	return suspect.NewSegmentTable(suspect.SegmentOptions{})
+}
+
+// Guards against sound requests that are refused because they ran beside those that crash engines.
+func TestSegmentsBesideTheCrashingOneAreNotRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newSegmentTable()
+	answer(g, table, start, firstSegment)
+	bad, sound := []suspect.Segment{firstSegment, crashingSegment}, []suspect.Segment{firstSegment, otherSegment}
+	crash(g, table, start, "e0", bad, sound)
+	crash(g, table, start, "e1", bad, sound)
+	crash(g, table, start, "e2", sound, bad)
+	expectRefused(g, table, start, bad...)
+	g.Expect(table.Check(start, []suspect.Segment{firstSegment})).To(gomega.Succeed(), "engines have answered it")
+	// One more crash without it shows that otherSegment, which no engine has answered, need not be a cause.
+	other := newSegmentTable()
+	crash(g, other, start, "e3", []suspect.Segment{crashingSegment})
+	table.Merge(start, other.Records(start), false)
+	g.Expect(table.Check(start, sound)).To(gomega.Succeed())
+	expectRefused(g, table, start, bad...)
+}
+
+// Guards against a segment that counts as the cause of unrelated crashes although engines answer requests with it.
+func TestAnsweredSegmentIsAcquitted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newSegmentTable()
+	for i := range 20 {
+		crash(g, table, start, fmt.Sprint("e", i), []suspect.Segment{firstSegment})
+		if i%2 == 1 {
+			answer(g, table, start, firstSegment)
+		}
+	}
+	g.Expect(table.Check(start, []suspect.Segment{firstSegment})).To(gomega.Succeed())
+}
+
+// Guards against a common segment that is refused because several engines crash at once and none is left to answer.
+func TestAnsweredSegmentSurvivesAnOutage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newSegmentTable()
+	answer(g, table, start, firstSegment)
+	for i := range 4 {
+		crash(g, table, start, fmt.Sprint("e", i), []suspect.Segment{firstSegment})
+	}
+	g.Expect(table.Check(start, []suspect.Segment{firstSegment})).To(gomega.Succeed())
+	crash(g, table, start, "e4", []suspect.Segment{firstSegment})
+	expectRefused(g, table, start, firstSegment)
+}
+
+// Guards against a refused segment that stays refused although a request that was still running got its answer.
+func TestLateAnswerEndsRefusal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newSegmentTable()
+	running, err := table.Begin(start, "sound", []suspect.Segment{firstSegment})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for i := range 3 {
+		crash(g, table, start, fmt.Sprint("e", i), []suspect.Segment{firstSegment})
+	}
+	expectRefused(g, table, start, firstSegment)
+	running.End(start, suspect.Answered)
+	g.Expect(table.Check(start, []suspect.Segment{firstSegment})).To(gomega.Succeed())
+}
+
+// Guards against a crash that does not count because the request's caller left just before it was noticed.
+func TestCrashCountsAfterTheCallerLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newSegmentTable()
+	answer(g, table, start, firstSegment)
+	for i := range 3 {
+		left, err := table.Begin(start, fmt.Sprint("e", i), []suspect.Segment{crashingSegment})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		left.End(start, suspect.Unresolved)
+		crash(g, table, start.Add(time.Second), fmt.Sprint("e", i), []suspect.Segment{firstSegment})
+	}
+	expectRefused(g, table, start.Add(time.Second), crashingSegment)
+	g.Expect(table.Check(start.Add(time.Second), []suspect.Segment{firstSegment})).To(gomega.Succeed())
+}
+
+// Guards against a crash that counts once for each instance that sees it, and against evidence that is lost or counted
+// anew when records arrive twice or an instance starts again.
+func TestRecordsOfInstancesAddUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := newSegmentTable(), newSegmentTable()
+	for _, table := range []*suspect.SegmentTable{a, b} {
+		crash(g, table, start, "e0", []suspect.Segment{crashingSegment})
+		crash(g, table, start, "e1", []suspect.Segment{crashingSegment})
+	}
+	for range 2 {
+		a.Merge(start, b.Records(start), false)
+		b.Merge(start, a.Records(start), false)
+	}
+	g.Expect(a.Check(start, []suspect.Segment{crashingSegment})).To(gomega.Succeed())
+	crash(g, b, start, "e2", []suspect.Segment{crashingSegment})
+	a.Merge(start, b.Records(start), false)
+	expectRefused(g, a, start, crashingSegment)
+
+	restarted := newSegmentTable()
+	restarted.Merge(start, b.Records(start), true)
+	expectRefused(g, restarted, start, crashingSegment)
+	newcomer := newSegmentTable()
+	newcomer.Merge(start, restarted.Records(start), false)
+	expectRefused(g, newcomer, start, crashingSegment)
+}
+
+// Guards against a segment that is refused for good, also by the records of an instance that is gone.
+func TestRefusalExpires(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newSegmentTable()
+	for i := range 3 {
+		crash(g, table, start, fmt.Sprint("e", i), []suspect.Segment{crashingSegment})
+	}
+	records := table.Records(start)
+	later := start.Add(10 * time.Minute)
+	expectRefused(g, table, later.Add(-time.Second), crashingSegment)
+	g.Expect(table.Check(later, []suspect.Segment{crashingSegment})).To(gomega.Succeed())
+	newcomer := newSegmentTable()
+	newcomer.Merge(later.Add(time.Minute), records, false)
+	g.Expect(newcomer.Check(later.Add(time.Minute), []suspect.Segment{crashingSegment})).To(gomega.Succeed())
+}
+
+// segmentFleet simulates instances that share their records each second, and engines that crash on one segment.
+type segmentFleet struct {
+	t         *rapid.T
+	now       time.Time
+	tables    []*suspect.SegmentTable
+	engines   []segmentEngine
+	nextEpoch int
+	crashes   int
+}
+
+type segmentEngine struct {
+	incarnation string
+	upAt        time.Time
+	running     []segmentRun
+}
+
+type segmentRun struct {
+	attempt *suspect.SegmentAttempt
+	endsAt  time.Time
+}
+
+func (f *segmentFleet) restart(e *segmentEngine, upAt time.Time) {
+	f.nextEpoch++
+	*e = segmentEngine{incarnation: fmt.Sprint("e", f.nextEpoch), upAt: upAt}
+}
+
+// step advances the time, ends runs and shares the records.
+func (f *segmentFleet) step(by time.Duration) {
+	before := f.now
+	f.now = f.now.Add(by)
+	for i := range f.engines {
+		e := &f.engines[i]
+		e.running = slices.DeleteFunc(e.running, func(r segmentRun) bool {
+			if r.endsAt.After(f.now) {
+				return false
+			}
+			r.attempt.End(f.now, suspect.Answered)
+			return true
+		})
+	}
+	if before.Unix() == f.now.Unix() {
+		return
+	}
+	for _, from := range f.tables {
+		for _, to := range f.tables {
+			if from != to {
+				to.Merge(f.now, from.Records(f.now), false)
+			}
+		}
+	}
+}
+
+// send sends a request and reports whether the instance accepted it and whether an engine got it.
+func (f *segmentFleet) send(segments ...suspect.Segment) (accepted, sent bool) {
+	table := rapid.SampledFrom(f.tables).Draw(f.t, "instance")
+	if table.Check(f.now, segments) != nil {
+		return false, false
+	}
+	var up []*segmentEngine
+	for i := range f.engines {
+		if !f.engines[i].upAt.After(f.now) {
+			up = append(up, &f.engines[i])
+		}
+	}
+	if len(up) == 0 {
+		return true, false
+	}
+	e := rapid.SampledFrom(up).Draw(f.t, "engine")
+	a, err := table.Begin(f.now, e.incarnation, segments)
+	if err != nil {
+		f.t.Fatalf("begin after check: %v", err)
+	}
+	e.running = append(e.running, segmentRun{a, f.now.Add(time.Duration(rapid.IntRange(50, 1500).Draw(f.t, "ms")) * time.Millisecond)})
+	if slices.Contains(segments, crashingSegment) {
+		f.crash(e)
+	}
+	return true, true
+}
+
+func (f *segmentFleet) crash(e *segmentEngine) {
+	f.crashes++
+	for _, r := range e.running {
+		result := suspect.Crashed
+		if rapid.IntRange(0, 3).Draw(f.t, "left") == 0 {
+			result = suspect.Unresolved
+		}
+		r.attempt.End(f.now, result)
+	}
+	f.restart(e, f.now.Add(3*time.Second))
+}
+
+// Guards against a crashing segment that is found too late among sound traffic, and against sound traffic that is
+// refused for it, with several instances and crashes that have other causes.
+func TestCrashingSegmentIsFoundAmongSoundTraffic(t *testing.T) {
+	const (
+		knownAfter = 4 * time.Second // after the fifth crash by the segment
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		f := &segmentFleet{t: t, now: start}
+		for range rapid.IntRange(1, 5).Draw(t, "instances") {
+			f.tables = append(f.tables, newSegmentTable())
+		}
+		f.engines = make([]segmentEngine, rapid.IntRange(2, 6).Draw(t, "engines"))
+		for i := range f.engines {
+			f.restart(&f.engines[i], start)
+		}
+		soundSegments := rapid.SampledFrom([]int{1, 6, 60}).Draw(t, "sound segments")
+		quiet := time.Duration(rapid.IntRange(0, 3).Draw(t, "quiet")) * time.Second
+		var fifth time.Time
+		lateSends, sound, soundRefused, bySegment := 0, 0, 0, 0
+		for range 400 {
+			f.step(50 * time.Millisecond)
+			other := suspect.Segment(rapid.IntRange(1, soundSegments).Draw(t, "segment"))
+			if rapid.IntRange(0, 9).Draw(t, "kind") == 0 && f.now.Sub(start) > quiet {
+				_, sent := f.send(firstSegment, 0x100+other, crashingSegment)
+				if sent {
+					bySegment++
+				}
+				if bySegment == 5 && fifth.IsZero() {
+					fifth = f.now
+				}
+				if sent && !fifth.IsZero() && f.now.Sub(fifth) > knownAfter {
+					lateSends++
+				}
+			}
+			accepted, _ := f.send(firstSegment, 0x100+other)
+			if !fifth.IsZero() && f.now.Sub(fifth) > 2*knownAfter {
+				sound++
+				if !accepted {
+					soundRefused++
+				}
+			}
+			if rapid.IntRange(0, 199).Draw(t, "unrelated") == 0 {
+				f.crash(&f.engines[0])
+			}
+		}
+		if lateSends > 3 || soundRefused*2 > sound {
+			t.Fatalf("%d crashes, %d by the segment; sent %d times too late; %d of %d sound requests refused", f.crashes, bySegment, lateSends,
+				soundRefused, sound)
+		}
+	})
+}
