--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -19,6 +19,8 @@
 	LastEventID int64
 	// Priority orders the requests of the replica: 0 is served first. A negative value means the replica's default.
 	Priority int
+	// OnResponse, if not nil, is called with what the header of the replica's response says, also if it is a refusal.
+	OnResponse func(ResponseInfo)
 }
 
 // CacheHandle identifies the KV cache of a processed prompt and the replica that holds it.
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -34,6 +34,9 @@
 	KeepAlive time.Duration
 	// Load is the load that the replica reports, or nil.
 	Load *Load
+	// Limit is the number of requests a second that the replica takes from all instances together, or nil if the replica
+	// names none.
+	Limit *float64
 }
 
 // Load is the number of running and waiting requests of a replica, and of its batch slots.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -94,6 +94,9 @@
 		}
 		x.resp, x.info = resp, dialect.ParseResponse(resp.StatusCode, resp.Header)
 		if x.info.RequestID == "" || x.info.RequestID == call.ID {
+			if attempt.OnResponse != nil && !x.info.Misdirected {
+				attempt.OnResponse(x.info)
+			}
 			return x.checkHeader()
 		}
 		// This is a late second response to an earlier request. The connection is not reused.
