place: divide the limit of a replica over the instances

What callers saw: nothing yet. Cause: the limit was not read, and no instance knows what the others send to a replica. The class: a bound over all instances that each would have to keep with what it sees itself.

Change: each instance computes its share of the limit from the list of live instances (divideLimit) and leaves the replica out of the placement while it has no share left; if all are left out, the request is refused at once with the time until the next share. Shares that would be below one request a second are not given to all instances: idle ones could exceed the limit together. Events 312 and 313 log a limit with the share, and its end.

--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -66,9 +66,6 @@
 	if r.listeners, err = openListeners(ctx, s); err != nil {
 		return nil, err
 	}
-	r.balancer = place.NewBalancer(place.Options{
-		Region: s.Region, Zone: s.Zone, Seed: engine.EpochHash(member.NewID(s.Instance)),
-	})
 	r.store = platform.New(s.Platform, r.metrics)
 	shared := newSuspicions(r.store, s.Instance, logger)
 	shared.table = suspect.New(suspect.Options{Self: member.NewID(s.Instance), Publish: func(*peerpb.Suspicion) { shared.scheduleWrite() }, Logger: logger})
@@ -86,6 +83,9 @@
 		},
 	})
 	r.peers = newRoutedPeers(s, r.discovery, relay, r.replicas, r.metrics, logger)
+	r.balancer = place.NewBalancer(place.Options{
+		Self: r.peers.member.Self(), Region: s.Region, Zone: s.Zone, Seed: engine.EpochHash(member.NewID(s.Instance)), Instances: r.peers.instances,
+	})
 	r.stages = stages.NewController(stages.Options{
 		Store: r.store, Client: platform.NewStageClient(), Name: s.Instance, Table: r.discovery.Table, Replicas: r.replicas,
 		Candidate: relay.followsStore, Logger: logger,
--- a/daemon/routed_peers.go
+++ b/daemon/routed_peers.go
@@ -14,6 +14,7 @@
 	"rhubarbpoint/member"
 	"rhubarbpoint/peer"
 	"rhubarbpoint/peer/peerpb"
+	"rhubarbpoint/place"
 	"rhubarbpoint/settings"
 	"rhubarbpoint/upstream"
 )
@@ -56,6 +57,15 @@
 	time.AfterFunc(rand.N(maxAnnounceDelay), func() { p.member.MarkUpstreamLeaving(replica.ID, uint64(replica.Born)) })
 }
 
+// instances returns the live instances, this one included.
+func (p *routedPeers) instances() []place.Instance {
+	var all []place.Instance
+	for _, m := range p.member.Live() {
+		all = append(all, place.Instance{ID: m.GetId(), Region: m.GetRegion(), Zone: m.GetZone()})
+	}
+	return all
+}
+
 // leavingSink marks the replicas that peers report as leaving. The epoch hash of a replica is its start time (Born).
 type leavingSink struct{ replicas *upstream.Registry }
 
--- a/entry/events.go
+++ b/entry/events.go
@@ -32,6 +32,11 @@
 	eventRequestNotServed = event.New(311, "request not served", slog.LevelInfo,
 		"A routed request got an error from this instance, or a stream that was cut off. The attribute run says whether "+
 			"it may have run, left_ms how long the caller would still have waited, error how the last attempt failed.")
+	eventLimitNamed = event.New(312, "replica limit", slog.LevelWarn,
+		"A replica names the number of requests a second that it takes from all instances together, or another number than "+
+			"before. The attribute share is the part that this instance sends, instances the number it is divided over.")
+	eventLimitEnded = event.New(313, "replica limit ended", slog.LevelInfo,
+		"A replica no longer names a limit.")
 	eventTraceDropped = event.New(309, "trace record dropped", slog.LevelWarn,
 		"The trace file is too slow or failed; a record was dropped.")
 )
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -147,7 +148,8 @@
 func (x *routedExchange) send(ctx context.Context, attempt *relay.Attempt, uncached int) error {
 	balancer := x.routing.Balancer
 	sent := time.Now()
-	queuedBefore := balancer.RecordSend(attempt.Replica, uncached)
+	queuedBefore := balancer.RecordSend(sent, attempt.Replica, uncached)
+	attempt.OnResponse = x.recordLimit(ctx, attempt.Replica, sent)
 	defer func() { balancer.RecordSendEnd(attempt.Replica, uncached) }()
 	// A retry uses a new connection, because the earlier attempt may have failed because of its connection.
 	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, attempt, x.request.Attempts > 0)
@@ -205,9 +207,10 @@
 func (x *routedExchange) runPrefill(ctx context.Context, p place.Placement) (*relay.CacheHandle, error) {
 	balancer := x.routing.Balancer
 	sent, uncached := time.Now(), p.UncachedTokens
-	queuedBefore := balancer.RecordSend(p.Prefill, uncached)
+	queuedBefore := balancer.RecordSend(sent, p.Prefill, uncached)
 	defer func() { balancer.RecordSendEnd(p.Prefill, uncached) }()
-	attempt := &relay.Attempt{Replica: p.Prefill, Deadline: x.deadline.Add(-deadlineMargin), PromptOnly: true, LastEventID: -1, Priority: x.route.Priority}
+	attempt := &relay.Attempt{Replica: p.Prefill, Deadline: x.deadline.Add(-deadlineMargin), PromptOnly: true, LastEventID: -1, Priority: x.route.Priority,
+		OnResponse: x.recordLimit(ctx, p.Prefill, sent)}
 	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, attempt, false)
 	if err != nil {
 		return nil, err
@@ -232,6 +235,21 @@
 	return handle, nil
 }
 
+// recordLimit returns a function that records the limit that the replica's response names, if any, and logs a change.
+func (x *routedExchange) recordLimit(ctx context.Context, replica *upstream.Replica, sent time.Time) func(relay.ResponseInfo) {
+	return func(info relay.ResponseInfo) {
+		change := x.routing.Balancer.RecordLimit(time.Now(), sent, replica, info.Limit)
+		switch {
+		case change == nil:
+		case change.Ended:
+			eventLimitEnded.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID), slog.String("request", x.call.ID))
+		default:
+			eventLimitNamed.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID), slog.String("request", x.call.ID),
+				slog.Float64("limit", change.PerSecond), slog.Float64("share", change.Share), slog.Int("instances", change.Instances))
+		}
+	}
+}
+
 // recordAttempt records what the result of an attempt says about the replica, for the choice of replicas, its health
 // and the next attempts of this request. It logs a failure.
 func (x *routedExchange) recordAttempt(ctx context.Context, replica *upstream.Replica, err error) {
--- a/internal/simfleet/exchange.go
+++ b/internal/simfleet/exchange.go
@@ -82,7 +82,7 @@
 // remotePrefill has a prefill replica process the prompt first.
 func (x *exchange) remotePrefill(p place.Placement) {
 	i, sent := x.instance, x.instance.sim.Now()
-	queuedBefore := i.balancer.RecordSend(p.Prefill, p.UncachedTokens)
+	queuedBefore := i.balancer.RecordSend(i.sim.Time(), p.Prefill, p.UncachedTokens)
 	uncached := p.UncachedTokens
 	x.send(p.Prefill, &job{prefillOnly: true, accepted: func() {}, event: func() {}, ended: func(outcome jobOutcome) {
 		if outcome == jobDone {
@@ -121,7 +121,7 @@
 		uncached = 0
 	}
 	sentUncached := uncached
-	queuedBefore := i.balancer.RecordSend(p.Replica, uncached)
+	queuedBefore := i.balancer.RecordSend(i.sim.Time(), p.Replica, uncached)
 	x.send(p.Replica, &job{
 		cacheSource: source,
 		accepted: func() {
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -18,8 +18,13 @@
 
 // Options configure a Balancer.
 type Options struct {
+	// Self is the ID of this instance among Instances.
+	Self string
 	// Region and Zone are the location of this instance.
 	Region, Zone string
+	// Instances returns the instances that send requests to the replicas, this one included. It is called without the
+	// balancer's lock. Default: only this one.
+	Instances func() []Instance
 	// Seed makes the random choices reproducible.
 	Seed uint64
 }
@@ -37,6 +42,10 @@
 
 // NewBalancer returns a Balancer without recorded load.
 func NewBalancer(opts Options) *Balancer {
+	if opts.Instances == nil {
+		only := []Instance{{opts.Self, opts.Region, opts.Zone}}
+		opts.Instances = func() []Instance { return only }
+	}
 	return &Balancer{
 		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 0x9e3779b97f4a7c15)),
 		states: make(map[upstream.Incarnation]*replicaState), services: make(map[string]*serviceStats),
@@ -72,10 +81,13 @@
 
 // RecordSend records that a request with so many uncached prompt tokens was sent to a replica. It returns the number of
 // tokens that this instance had already queued there, for RecordPrefill.
-func (b *Balancer) RecordSend(replica *upstream.Replica, tokens int) (ownAhead int) {
+func (b *Balancer) RecordSend(now time.Time, replica *upstream.Replica, tokens int) (ownAhead int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state := b.state(replica.Incarnation())
+	if state.limit != nil {
+		state.limit.take(now)
+	}
 	ownAhead = state.queue.ownTokens
 	state.inFlight++
 	state.queue.ownTokens += tokens
--- a/place/balancer_test.go
+++ b/place/balancer_test.go
@@ -84,7 +84,7 @@
 		p, err := balancer.Choose(now, small, list, newRequest(now, prompt(i, i)))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(p.Prefill).NotTo(gomega.BeNil())
-		balancer.RecordSend(p.Replica, 0)
+		balancer.RecordSend(now, p.Replica, 0)
 		decoding[p.Replica.ID] = true
 	}
 	g.Expect(decoding).To(gomega.HaveLen(5))
@@ -190,7 +190,7 @@
 			start = server.idleAt
 		}
 		server.idleAt = start.Add(time.Duration(float64(placed.UncachedTokens) / tokensPerMs * float64(time.Millisecond)))
-		ownAhead := balancer.RecordSend(placed.Prefill, placed.UncachedTokens)
+		ownAhead := balancer.RecordSend(now, placed.Prefill, placed.UncachedTokens)
 		pending = append(pending, done{server.idleAt, placed, now, p, ownAhead})
 		if server.idleAt.Sub(now) <= 300*time.Millisecond {
 			inTime++
--- a/place/engine.go
+++ b/place/engine.go
@@ -52,6 +52,10 @@
 	if len(usable) == 0 || len(decode) == 0 {
 		return Placement{}, ErrNoReplica
 	}
+	decode, limitWait := b.withinLimits(now, decode, req)
+	if len(decode) == 0 {
+		return Placement{}, limitedError(now, limitWait, req)
+	}
 	if req.CacheSource != nil {
 		p := Placement{Replica: b.bestDecode(now, service, decode, req, req.CacheSource)}
 		return b.finish(now, &p, 0, req)
@@ -62,7 +66,11 @@
 	}
 	best := candidate{score: math.Inf(1)}
 	preferred, second := preferredReplicas(prefill, req.Prompt.Segments)
-	for _, r := range prefill {
+	within, limitWait := b.withinLimits(now, prefill, req)
+	if len(within) == 0 {
+		return Placement{}, limitedError(now, limitWait, req)
+	}
+	for _, r := range within {
 		c := b.prefillCandidate(now, service, r, req, shared, r == preferred)
 		if r == second {
 			c.score -= secondPreferredBonusMs
--- /dev/null
+++ b/place/limit.go
@@ -0,0 +1,115 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rhubarbpoint/upstream"
+)
+
+const (
+	// minLimit is used for a replica that names a lower limit, in requests a second, so that some request can find out
+	// that the limit has ended.
+	minLimit = 0.5
+	// shareHeadroom is the factor by which the shares together exceed the limit. Instances with little traffic leave a
+	// part of their shares unused.
+	shareHeadroom = 1.25
+	// minShare is the least share of an instance that sends regularly, in requests a second. With smaller shares a few
+	// idle instances could exceed the limit together with what they have saved up.
+	minShare = 1.0
+	// visitorShare is the part of the limit that is left to the instances that do not send regularly. They find out when
+	// the limit has ended.
+	visitorShare = 0.1
+	// visitorWindow is how long an instance that does not send regularly may use its turn.
+	visitorWindow = time.Second
+	// saveTime is the time for which an instance can save up its share.
+	saveTime = 500 * time.Millisecond
+	// shareRefresh is how often a share is computed anew, because instances come and go.
+	shareRefresh = time.Second
+)
+
+// Instance is one of the instances that send requests to the replicas.
+type Instance struct{ ID, Region, Zone string }
+
+// limitShare is an instance's share of the limit of a replica.
+type limitShare struct {
+	rate float64 // requests a second
+	// every and turn are set for an instance that does not send regularly: it sends at most one request in each period,
+	// within visitorWindow after turn.
+	every, turn time.Duration
+}
+
+// divideLimit divides the limit of a replica, in requests a second, over the instances. It answers a load that many
+// instances send to a replica which can take less than usual, without messages between them: each computes its own
+// share from the list of instances. If the shares would be small, the nearest instances have all but a part of the
+// limit.
+func divideLimit(limit float64, instances []Instance, self string, r *upstream.Replica) limitShare {
+	limit = max(limit, minLimit)
+	regular := max(1, int(limit/minShare))
+	if len(instances) <= regular {
+		return limitShare{rate: limit * shareHeadroom / float64(max(1, len(instances)))}
+	}
+	nearest := slices.SortedFunc(slices.Values(instances), func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(rttBetween(a.Region, a.Zone, r.Region, r.Zone), rttBetween(b.Region, b.Zone, r.Region, r.Zone)),
+			cmp.Compare(shareHash(a.ID, r), shareHash(b.ID, r)))
+	})
+	rank := slices.IndexFunc(nearest, func(i Instance) bool { return i.ID == self })
+	if rank >= 0 && rank < regular {
+		return limitShare{rate: limit * (1 - visitorShare) / float64(regular)}
+	}
+	rate := limit * visitorShare / float64(len(instances)-regular)
+	every := max(time.Duration(float64(time.Second)/rate), 2*visitorWindow)
+	return limitShare{rate: rate, every: every, turn: time.Duration(shareHash(self, r) % uint64(every))}
+}
+
+func shareHash(instance string, r *upstream.Replica) uint64 {
+	return xxhash.Sum64String(instance + "/" + r.ID)
+}
+
+// replicaLimit enforces this instance's share of a replica's limit.
+type replicaLimit struct {
+	perSecond float64 // of the replica, for all instances together
+	share     limitShare
+	// tokens is the number of requests that may be sent. It is negative after requests that had to be sent.
+	tokens  float64
+	at      time.Time // of tokens
+	namedAt time.Time // when the replica named its first limit
+	divided time.Time // when share was computed
+}
+
+// setShare applies a newly computed share.
+func (l *replicaLimit) setShare(now time.Time, share limitShare) {
+	l.refill(now)
+	l.share, l.divided = share, now
+}
+
+func (l *replicaLimit) refill(now time.Time) {
+	most := max(1, l.share.rate*saveTime.Seconds())
+	l.tokens = min(most, l.tokens+l.share.rate*max(0, now.Sub(l.at).Seconds()))
+	l.at = now
+}
+
+// wait returns how long the instance must not send a request to the replica.
+func (l *replicaLimit) wait(now time.Time) time.Duration {
+	l.refill(now)
+	wait := time.Duration(0)
+	if l.tokens < 1 {
+		wait = time.Duration((1 - l.tokens) / l.share.rate * float64(time.Second))
+	}
+	if l.share.every > 0 {
+		phase := (time.Duration(now.UnixNano()) - l.share.turn) % l.share.every
+		if phase >= visitorWindow {
+			wait = max(wait, l.share.every-phase)
+		}
+	}
+	return wait
+}
+
+// take takes one request from the share.
+func (l *replicaLimit) take(now time.Time) {
+	l.refill(now)
+	l.tokens--
+}
--- /dev/null
+++ b/place/limits.go
@@ -0,0 +1,101 @@
+package place
+
+import (
+	"time"
+
+	"rhubarbpoint/upstream"
+)
+
+// LimitChange describes a replica's limit that has begun, changed or ended.
+type LimitChange struct {
+	// PerSecond is the rate that the replica takes from all instances together; Ended is set if it names none any more.
+	PerSecond float64
+	Ended     bool
+	// Share is the part of this instance, in requests a second, Instances the number of instances that it was divided over.
+	Share     float64
+	Instances int
+}
+
+// RecordLimit records that a response to a request, which was sent at a given time, names a limit in requests a second,
+// or none if it is nil. It returns nil if nothing has changed.
+func (b *Balancer) RecordLimit(now, sent time.Time, replica *upstream.Replica, limit *float64) *LimitChange {
+	if limit == nil {
+		return b.endLimit(sent, replica)
+	}
+	if !b.limitNeedsShare(now, replica, *limit) {
+		return nil
+	}
+	instances := b.opts.Instances()
+	share := divideLimit(*limit, instances, b.opts.Self, replica)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := b.state(replica.Incarnation())
+	if state.limit == nil {
+		state.limit = &replicaLimit{at: now}
+	}
+	changed := state.limit.perSecond != *limit || state.limit.share.rate != share.rate
+	state.limit.perSecond, state.limit.namedAt = *limit, now
+	state.limit.setShare(now, share)
+	if !changed {
+		return nil
+	}
+	return &LimitChange{PerSecond: *limit, Share: share.rate, Instances: len(instances)}
+}
+
+// endLimit ends the limit of a replica. A response to a request that was sent before the limit was last named may have
+// been overtaken, so it ends nothing.
+func (b *Balancer) endLimit(sent time.Time, replica *upstream.Replica) *LimitChange {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := b.state(replica.Incarnation())
+	if state.limit == nil || sent.Before(state.limit.namedAt) {
+		return nil
+	}
+	state.limit = nil
+	return &LimitChange{Ended: true}
+}
+
+// limitNeedsShare records that a replica has named a limit. It reports whether the share must be computed.
+func (b *Balancer) limitNeedsShare(now time.Time, replica *upstream.Replica, limit float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.state(replica.Incarnation()).limit
+	if l == nil || l.perSecond != limit || now.Sub(l.divided) >= shareRefresh {
+		return true
+	}
+	l.namedAt = now
+	return false
+}
+
+// withinLimits returns the replicas to which this instance may send a request now, and the time until it may send one to
+// any of the others if there are none. The rest of a response that has begun may go to any replica.
+func (b *Balancer) withinLimits(now time.Time, replicas []*upstream.Replica, req *Request) (within []*upstream.Replica, wait time.Duration) {
+	limited := 0
+	for _, r := range replicas {
+		l := b.state(r.Incarnation()).limit
+		if l == nil {
+			continue
+		}
+		if w := l.wait(now); w > 0 {
+			if limited == 0 || w < wait {
+				wait = w
+			}
+			limited++
+		}
+	}
+	if limited == 0 || limited == len(replicas) && req.Resumed {
+		return replicas, 0
+	}
+	within = make([]*upstream.Replica, 0, len(replicas)-limited)
+	for _, r := range replicas {
+		if l := b.state(r.Incarnation()).limit; l == nil || l.wait(now) == 0 {
+			within = append(within, r)
+		}
+	}
+	return within, wait
+}
+
+// limitedError is the error if all replicas that could serve a request are at their limits.
+func limitedError(now time.Time, wait time.Duration, req *Request) error {
+	return &BusyError{TimeToFirstByte: wait, Wait: wait, Remaining: req.Deadline.Sub(now), AtLimit: true, Excess: wait}
+}
--- a/place/plain.go
+++ b/place/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"rhubarbpoint/traffic"
@@ -19,14 +20,19 @@
 
 // choosePlain chooses the replica of a plain service that is expected to respond first.
 func (b *Balancer) choosePlain(now time.Time, service *traffic.Service, replicas []*upstream.Replica, req *Request) (Placement, error) {
+	replicas = slices.DeleteFunc(slices.Clone(replicas), func(r *upstream.Replica) bool { return req.Refused[r.Incarnation()] })
+	if len(replicas) == 0 {
+		return Placement{}, ErrNoReplica
+	}
+	replicas, limitWait := b.withinLimits(now, replicas, req)
+	if len(replicas) == 0 {
+		return Placement{}, limitedError(now, limitWait, req)
+	}
 	latency := b.stats(service.Name).meanLatency.Seconds() * 1000
 	var best *upstream.Replica
 	bestScore, bestFirst, bestWait := math.Inf(1), 0.0, 0.0
 	for _, r := range replicas {
 		incarnation := r.Incarnation()
-		if req.Refused[incarnation] {
-			continue
-		}
 		state := b.state(incarnation)
 		slots := float64(firstPositive(state.slots, r.Slots, defaultSlots))
 		inFlight := state.requests(now)
@@ -41,9 +47,6 @@
 			best, bestScore, bestFirst, bestWait = r, score, first, wait
 		}
 	}
-	if best == nil {
-		return Placement{}, ErrNoReplica
-	}
 	return b.finish(now, &Placement{Replica: best, Wait: milliseconds(bestWait)}, bestFirst, req)
 }
 
--- a/place/replica_state.go
+++ b/place/replica_state.go
@@ -27,6 +27,8 @@
 	cache           *segmentcache.Cache
 	handoffFailures failureRate
 	refusals        failureRate
+	// limit is nil for a replica that names none.
+	limit *replicaLimit
 }
 
 // update applies a load report.
