soak: requests with a segment that crashes replicas

Now requests with a crashing segment come beside the faults, and at the end all instances must refuse it if five replicas have crashed under it.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rhubarbpoint/platform"
 )
 
@@ -40,6 +42,8 @@
 	instance *instance
 	kind     string
 	name     string
+	// segments, if not empty, are those of the prompt, with a verb for the last one.
+	segments string
 }
 
 func (c *caller) run(stop <-chan struct{}) {
@@ -94,6 +98,9 @@
 	if c.kind == pathGrade {
 		req.Header.Set(platform.HeaderTokens, "9000,20")
 		req.Header.Set(platform.HeaderPrefix, "1:2500,2:3800,3:2700")
+		if c.segments != "" {
+			req.Header.Set(platform.HeaderPrefix, fmt.Sprintf(c.segments, xxhash.Sum64String(id)))
+		}
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -36,6 +36,8 @@
 	instances []*instance
 	stop      chan struct{}
 	callers   sync.WaitGroup
+	// replacing are the replacements of replicas that crashed under a request.
+	replacing sync.WaitGroup
 	cancel    context.CancelFunc
 	// ctx is the context of the whole soak.
 	ctx context.Context
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -29,7 +29,10 @@
 // Counts are the numbers of requests and stage orders of a soak by outcome, and those of faults by name.
 type Counts struct {
 	Sent, Served, Refused, Broken, Runs, Orders int
-	Faults                                      map[string]int
+	// SegmentArrivals counts the requests with crashingSegment that reached replicas, SegmentCrashes the replicas that
+	// crashed under them.
+	SegmentArrivals, SegmentCrashes int
+	Faults                          map[string]int
 }
 
 // stageOrder is an order that changes a replica's stage, with the time at which the replica received it.
@@ -116,6 +119,12 @@
 	*count++
 }
 
+func (r *recorder) snapshot() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts
+}
+
 func (r *recorder) recordOrder(o *platform.Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -44,6 +44,7 @@
 	cluster *cluster
 	link    *faultproxy.Link
 	server  *http.Server
+	crashed sync.Once // by a request with crashingSegment
 
 	mu            sync.Mutex
 	entry         upstream.Replica
@@ -104,6 +105,9 @@
 		r.handleOrder(w, body)
 		return
 	}
+	if hasCrashingSegment(req) {
+		r.cluster.recorder.increment(&r.cluster.recorder.counts.SegmentArrivals)
+	}
 	r.mu.Lock()
 	id, stage, fault := r.entry.ID, r.entry.Stage, r.fault
 	changingStage := r.changingStage
@@ -138,6 +142,10 @@
 func (r *replica) execute(w http.ResponseWriter, req *http.Request, request string, fault replicaFault) {
 	kind := kindOf(req.URL.Path)
 	r.cluster.recorder.recordExecution(request, kind == pathOrder)
+	if hasCrashingSegment(req) {
+		r.crashUnder()
+		panic(http.ErrAbortHandler)
+	}
 	if fault == slowResponses {
 		time.Sleep(20 * workTime)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -55,6 +55,7 @@
 		c.startCallers(i)
 		watchers.Go(func() { i.watchRoutes(watching) })
 	}
+	c.callers.Go(func() { c.sendCrashing(c.stop) })
 	c.runFaults(opts)
 	deadline := time.Now().Add(recoveryTime)
 	var recovering sync.WaitGroup
@@ -62,8 +63,10 @@
 		recovering.Go(func() { i.waitRecovered(deadline) })
 	}
 	recovering.Wait()
+	c.checkCrashingSegment()
 	close(c.stop)
 	c.callers.Wait()
+	c.replacing.Wait()
 	close(watching)
 	watchers.Wait()
 	c.recorder.checkHolders(func(name string, at time.Time) bool {
