--- a/internal/soak/crashing_segment.go
+++ b/internal/soak/crashing_segment.go
@@ -65,6 +65,8 @@
 	client := &http.Client{Timeout: callerDeadline}
 	defer client.CloseIdleConnections()
 	for n := range 3 * len(c.instances) {
+		// With pauses, so that replicas which have crashed are back.
+		time.Sleep(crashingPause)
 		c.sendCrashingTo(client, c.instances[n%len(c.instances)], 1_000_000+n)
 	}
 	after := c.recorder.snapshot()
