suspect: crashes of a request survive restarts of the instances

What callers could see: a request that had crashed three replicas and was refused could crash more after instances had restarted one after another, as in a rolling restart. Cause: each instance shares only the records of its own process, so the first write of a restarted one removed from the store what its predecessor had counted, and instances that started later never learned of it.

Change: an instance applies the records that it finds under its own key as those of an earlier process and shares them in its place; attempts of that process count as ended.

Result: TestCrashesOfARequestSurviveRestarts failed before and passes.

--- a/daemon/suspicions.go
+++ b/daemon/suspicions.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// merge merges the suspicions of another instance, and the segments that an earlier process of this instance shared.
-// The next write would otherwise remove them from the store.
+// merge merges the suspicions of another instance, and those that an earlier process of this instance shared, which the
+// next write would otherwise remove from the store.
 func (s *suspicions) merge(now time.Time, entry topo.Entry) {
 	if !strings.HasPrefix(entry.Key, suspicionPrefix) || entry.Value == nil {
 		return
@@ -67,11 +67,12 @@
 	}
 	own := entry.Key == s.key
 	s.segments.Merge(now, records.Segments, own)
+	apply := s.table.Merge
 	if own {
-		return
+		apply = s.table.Inherit
 	}
 	for _, record := range records.Suspicions {
-		s.table.Merge(now, record)
+		apply(now, record)
 	}
 }
 
--- a/daemon/suspicions_test.go
+++ b/daemon/suspicions_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,7 +44,7 @@
 
 func (f *suspicionFleet) start(name string) *suspicions {
 	s := newSuspicions(f.store, name, nil)
-	s.table = suspect.New(suspect.Options{Self: name, Publish: func(*peerpb.Suspicion) { s.scheduleWrite() }})
+	s.table = suspect.New(suspect.Options{Self: fmt.Sprint(name, "-", len(f.instances)), Publish: func(*peerpb.Suspicion) { s.scheduleWrite() }})
 	s.segments = suspect.NewSegmentTable(suspect.SegmentOptions{OnChange: s.scheduleWrite})
 	f.instances = append(f.instances, s)
 	go s.run(f.t.Context())
@@ -117,3 +118,31 @@
 		})
 	}
 }
+
+// Guards against a refused request that may crash replicas again, because instances that restart remove what their earlier
+// processes had shared.
+func TestCrashesOfARequestSurviveRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newSuspicionFleet(t, 0, "a", "b", "c")
+		crash := func(s *suspicions, engine string, f suspect.Fingerprint) {
+			run, err := s.table.Begin(time.Now(), engine, f)
+			fleet.Expect(err).NotTo(gomega.HaveOccurred())
+			run.RecordCrash(time.Now())
+			run.End(time.Now())
+			fleet.share()
+		}
+		bad, other := suspect.ContentFingerprint("bad"), suspect.ContentFingerprint("other")
+		for i, s := range fleet.instances {
+			crash(s, string(rune('x'+i)), bad)
+		}
+		for _, name := range []string{"a", "b", "c"} {
+			restarted := fleet.start(name)
+			fleet.share()
+			crash(restarted, "another engine at "+name, other)
+		}
+		last := fleet.start("d")
+		fleet.share()
+		_, err := last.table.Check(time.Now(), bad)
+		fleet.Expect(err).To(gomega.MatchError(suspect.ErrRefused))
+	})
+}
--- a/suspect/merge.go
+++ b/suspect/merge.go
@@ -40,14 +40,32 @@
 	t.notifyChanged()
 }
 
-// Records returns this instance's entry in each record, for a peer that has connected.
+// Inherit applies a record that an earlier process of this instance has shared, and whose attempts have ended with it.
+// This process shares the record from now on. It modifies s.
+func (t *Table) Inherit(now time.Time, s *peerpb.Suspicion) {
+	if s.GetOrigin() == t.opts.Self {
+		return
+	}
+	s.Engine = ""
+	t.Merge(now, s)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inherited[s.GetOrigin()] = true
+}
+
+// Records returns the entries of this instance and of its earlier processes in each record, for the other instances.
 func (t *Table) Records(now time.Time) []*peerpb.Suspicion {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []*peerpb.Suspicion
-	for f := range t.records {
-		if own, found := t.records[f].origins[t.opts.Self]; found && t.crashes(now, f) > 0 {
-			all = append(all, newSuspicion(f, t.opts.Self, own))
+	for f, rec := range t.records {
+		if t.crashes(now, f) == 0 {
+			continue
+		}
+		for name, o := range rec.origins {
+			if name == t.opts.Self || t.inherited[name] {
+				all = append(all, newSuspicion(f, name, o))
+			}
 		}
 	}
 	return all
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -51,14 +51,16 @@
 	attempts map[string]map[*Attempt]bool // by engine
 	// remoteCrashes holds, by engine, until when a crash is attributed to a suspect that another instance ran there.
 	remoteCrashes map[string]time.Time
-	changed       chan struct{}
+	// inherited holds the IDs of earlier processes of this instance whose records it shares.
+	inherited map[string]bool
+	changed   chan struct{}
 }
 
 // New returns an empty table.
 func New(opts Options) *Table {
 	return &Table{
 		opts: opts, records: make(map[Fingerprint]*record), attempts: make(map[string]map[*Attempt]bool),
-		remoteCrashes: make(map[string]time.Time), changed: make(chan struct{}),
+		remoteCrashes: make(map[string]time.Time), inherited: make(map[string]bool), changed: make(chan struct{}),
 	}
 }
 
