suspect: a full table keeps refused segments; old false crashes do not count

Found while reading the change: with 10,000 records the table evicted the oldest one even if its segment was refused, and the next request with that segment would have met a nil record and ended the process. And an instance that is cut off and takes a replica for crashed made other instances count later attempts there that ended without an answer, for ten minutes; now for ten seconds. Lines about limits of replicas are rate-limited, and some names say what they mean in the usual terms.

--- a/entry/log_limiter.go
+++ b/entry/log_limiter.go
@@ -13,6 +13,8 @@
 	// requests cannot hide them.
 	servedLogsPerSecond = 100
 	failedLogsPerSecond = 100
+	// limitLogsPerSecond limits those about the limits of replicas, which a replica can change with each response.
+	limitLogsPerSecond = 20
 )
 
 // logLimiter limits the rate of log lines of one kind. Lines over the limit are counted, and the next line carries the
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -239,13 +239,17 @@
 func (x *routedExchange) recordLimit(ctx context.Context, replica *upstream.Replica, sent time.Time) func(relay.ResponseInfo) {
 	return func(info relay.ResponseInfo) {
 		change := x.routing.Balancer.RecordLimit(time.Now(), sent, replica, info.Limit)
+		if change == nil {
+			return
+		}
+		omitted, allowed := x.server.limitLogs.allow()
 		switch {
-		case change == nil:
+		case !allowed:
 		case change.Ended:
-			eventLimitEnded.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID), slog.String("request", x.call.ID))
+			eventLimitEnded.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID), slog.String("request", x.call.ID), omitted)
 		default:
 			eventLimitNamed.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID), slog.String("request", x.call.ID),
-				slog.Float64("limit", change.PerSecond), slog.Float64("share", change.Share), slog.Int("instances", change.Instances))
+				slog.Float64("limit", change.PerSecond), slog.Float64("share", change.Share), slog.Int("instances", change.Instances), omitted)
 		}
 	}
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -35,8 +35,8 @@
 	refusing atomic.Bool
 	// routedInFlight counts the routed requests in flight.
 	routedInFlight atomic.Int64
-	// servedLogs and failedLogs limit the rate of log lines about routed requests.
-	servedLogs, failedLogs *logLimiter
+	// servedLogs, failedLogs and limitLogs limit the rate of log lines about routed requests.
+	servedLogs, failedLogs, limitLogs *logLimiter
 	// latestDeadline is the latest deadline of any request, in Unix milliseconds.
 	latestDeadline atomic.Int64
 }
@@ -46,6 +46,7 @@
 	opts = opts.withDefaults()
 	return &Server{opts: opts, metrics: newCounters(opts.Metrics), pool: relay.NewPool(opts.Dial),
 		servedLogs: newLogLimiter(servedLogsPerSecond), failedLogs: newLogLimiter(failedLogsPerSecond),
+		limitLogs: newLogLimiter(limitLogsPerSecond),
 	}
 }
 
--- a/place/limit.go
+++ b/place/limit.go
@@ -18,15 +18,15 @@
 	// part of their shares unused.
 	shareHeadroom = 1.25
 	// minShare is the least share of an instance that sends regularly, in requests a second. With smaller shares a few
-	// idle instances could exceed the limit together with what they have saved up.
+	// idle instances could exceed the limit together with what they have accumulated.
 	minShare = 1.0
-	// visitorShare is the part of the limit that is left to the instances that do not send regularly. They find out when
+	// occasionalShare is the part of the limit that is left to the instances that do not send regularly. They find out when
 	// the limit has ended.
-	visitorShare = 0.1
-	// visitorWindow is how long an instance that does not send regularly may use its turn.
-	visitorWindow = time.Second
-	// saveTime is the time for which an instance can save up its share.
-	saveTime = 500 * time.Millisecond
+	occasionalShare = 0.1
+	// occasionalWindow is how long an instance that does not send regularly may use its turn.
+	occasionalWindow = time.Second
+	// burstTime is the time for which an instance can accumulate its share.
+	burstTime = 500 * time.Millisecond
 	// shareRefresh is how often a share is computed anew, because instances come and go.
 	shareRefresh = time.Second
 )
@@ -38,7 +38,7 @@
 type limitShare struct {
 	rate float64 // requests a second
 	// every and turn are set for an instance that does not send regularly: it sends at most one request in each period,
-	// within visitorWindow after turn.
+	// within occasionalWindow after turn.
 	every, turn time.Duration
 }
 
@@ -58,10 +58,10 @@
 	})
 	rank := slices.IndexFunc(nearest, func(i Instance) bool { return i.ID == self })
 	if rank >= 0 && rank < regular {
-		return limitShare{rate: limit * (1 - visitorShare) / float64(regular)}
+		return limitShare{rate: limit * (1 - occasionalShare) / float64(regular)}
 	}
-	rate := limit * visitorShare / float64(len(instances)-regular)
-	every := max(time.Duration(float64(time.Second)/rate), 2*visitorWindow)
+	rate := limit * occasionalShare / float64(len(instances)-regular)
+	every := max(time.Duration(float64(time.Second)/rate), 2*occasionalWindow)
 	return limitShare{rate: rate, every: every, turn: time.Duration(shareHash(self, r) % uint64(every))}
 }
 
@@ -87,7 +87,7 @@
 }
 
 func (l *replicaLimit) refill(now time.Time) {
-	most := max(1, l.share.rate*saveTime.Seconds())
+	most := max(1, l.share.rate*burstTime.Seconds())
 	l.tokens = min(most, l.tokens+l.share.rate*max(0, now.Sub(l.at).Seconds()))
 	l.at = now
 }
@@ -101,7 +101,7 @@
 	}
 	if l.share.every > 0 {
 		phase := (time.Duration(now.UnixNano()) - l.share.turn) % l.share.every
-		if phase >= visitorWindow {
+		if phase >= occasionalWindow {
 			wait = max(wait, l.share.every-phase)
 		}
 	}
--- a/place/limit_test.go
+++ b/place/limit_test.go
@@ -70,7 +70,7 @@
 	return most
 }
 
-// Guards against instances that together exceed the limit of a replica, also after a pause in which each has saved up its
+// Guards against instances that together exceed the limit of a replica, also after a pause in which each has accumulated its
 // share, and against shares that leave most of the limit unused.
 func TestInstancesKeepLimitTogether(t *testing.T) {
 	const window = 4 * time.Second
--- a/suspect/events.go
+++ b/suspect/events.go
@@ -14,7 +14,7 @@
 	eventSegmentBlamed = event.New(1102, "segment blamed", slog.LevelWarn,
 		"An engine crashed while it ran a request with this prompt segment. All shared segments on the engine are blamed, at "+
 			"most 16 are logged; the attribute blamed is their number.")
-	eventSegmentAcquitted = event.New(1103, "segment acquitted", slog.LevelInfo,
+	eventSegmentCleared = event.New(1103, "segment cleared", slog.LevelInfo,
 		"An engine answered a request with a prompt segment that had been blamed for crashes, so it was not their cause.")
 	eventSegmentRefused = event.New(1104, "segment refused", slog.LevelError,
 		"A prompt segment is the likely cause of several crashes. Requests with it are refused for 10 minutes after the last "+
--- a/suspect/segment_changes.go
+++ b/suspect/segment_changes.go
@@ -8,10 +8,10 @@
 
 // segmentChanges collects what one call has changed, to be logged and shared once the lock is released.
 type segmentChanges struct {
-	blamed    []blamedSegment
-	acquitted []Segment
-	refused   []refusedSegment
-	merged    bool
+	blamed  []blamedSegment
+	cleared []Segment
+	refused []refusedSegment
+	merged  bool
 	// share is set if the other instances should learn of the changes.
 	share bool
 }
@@ -33,7 +33,7 @@
 	c.share = true
 }
 
-func (c *segmentChanges) any() bool { return len(c.blamed) > 0 || len(c.acquitted) > 0 || c.merged }
+func (c *segmentChanges) any() bool { return len(c.blamed) > 0 || len(c.cleared) > 0 || c.merged }
 
 // maxLoggedSegments bounds the lines that one crash writes.
 const maxLoggedSegments = 16
@@ -43,8 +43,8 @@
 		eventSegmentBlamed.Log(ctx, logger, slog.Any("segment", b.segment), slog.String("engine", b.engine), slog.Int("crashes", b.crashes),
 			slog.Int("blamed", len(c.blamed)))
 	}
-	for _, s := range c.acquitted[:min(len(c.acquitted), maxLoggedSegments)] {
-		eventSegmentAcquitted.Log(ctx, logger, slog.Any("segment", s))
+	for _, s := range c.cleared[:min(len(c.cleared), maxLoggedSegments)] {
+		eventSegmentCleared.Log(ctx, logger, slog.Any("segment", s))
 	}
 	for _, r := range c.refused {
 		eventSegmentRefused.Log(ctx, logger, slog.Any("segment", r.segment), slog.Int("crashes", r.crashes), slog.Duration("last_crash_ago", r.age))
--- a/suspect/segment_merge.go
+++ b/suspect/segment_merge.go
@@ -45,7 +45,7 @@
 	for _, record := range records {
 		t.merge(now, record, own, changed)
 	}
-	t.conclude(now, changed)
+	t.updateRefused(now, changed)
 	t.mu.Unlock()
 	t.report(changed)
 }
--- a/suspect/segment_table.go
+++ b/suspect/segment_table.go
@@ -14,7 +14,7 @@
 	// unresolvedTTL is how long an attempt without an answer may still turn out to have run on an engine that crashed.
 	// Its caller may leave before the crash is noticed, and another instance may be the one that notices it.
 	unresolvedTTL = 3 * time.Second
-	// maxSegments bounds the records; the one with the oldest crash is evicted first.
+	// maxSegments bounds the records, except for those of refused segments.
 	maxSegments = 10_000
 )
 
@@ -102,17 +102,18 @@
 	}
 	a.endedAt = now
 	changed := &segmentChanges{}
-	_, crashed := t.crashed[a.crash]
+	noticed, crashed := t.crashed[a.crash]
+	crashed = crashed && now.Sub(noticed) < crashReportDelay
 	switch {
 	case result == Answered:
-		t.acquit(a.segments, changed)
+		t.clearSegments(a.segments, changed)
 		t.forget(a)
 	case result == NotRun:
 		t.forget(a)
 	case result == Crashed || crashed:
 		t.blame(now, a.crash, now.UnixMilli(), changed)
 	}
-	t.conclude(now, changed)
+	t.updateRefused(now, changed)
 	t.mu.Unlock()
 	t.report(changed)
 }
@@ -137,8 +138,8 @@
 	}
 }
 
-// acquit disproves the crashes of segments that an engine has answered.
-func (t *SegmentTable) acquit(segments []Segment, changed *segmentChanges) {
+// clearSegments disproves the crashes of segments that an engine has answered.
+func (t *SegmentTable) clearSegments(segments []Segment, changed *segmentChanges) {
 	for _, s := range segments {
 		t.answered.add(s)
 		rec := t.records[s]
@@ -149,7 +150,7 @@
 		if len(rec.crashes) == 0 {
 			continue
 		}
-		changed.acquitted = append(changed.acquitted, s)
+		changed.cleared = append(changed.cleared, s)
 		// The instances that share a record disprove its crashes themselves as soon as they get an answer. Only where the
 		// segment is refused may they get none.
 		if rec.own && rec.shared || t.refused[s] {
@@ -161,8 +162,8 @@
 	}
 }
 
-// conclude decides anew which segments are refused, if the evidence has changed.
-func (t *SegmentTable) conclude(now time.Time, changed *segmentChanges) {
+// updateRefused decides anew which segments are refused, if the evidence has changed.
+func (t *SegmentTable) updateRefused(now time.Time, changed *segmentChanges) {
 	if !changed.any() {
 		return
 	}
@@ -193,6 +194,7 @@
 	return rec
 }
 
+// evictIfFull evicts the record with the oldest crash whose segment is not refused.
 func (t *SegmentTable) evictIfFull() {
 	if len(t.records) < maxSegments {
 		return
@@ -200,7 +202,7 @@
 	var oldest Segment
 	var found *segmentRecord
 	for s, rec := range t.records {
-		if found == nil || rec.changed.Before(found.changed) {
+		if !t.refused[s] && (found == nil || rec.changed.Before(found.changed)) {
 			oldest, found = s, rec
 		}
 	}
--- a/suspect/segment_table_test.go
+++ b/suspect/segment_table_test.go
@@ -68,7 +68,7 @@
 }
 
 // Guards against a segment that counts as the cause of unrelated crashes although engines answer requests with it.
-func TestAnsweredSegmentIsAcquitted(t *testing.T) {
+func TestAnsweredSegmentIsCleared(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table := newSegmentTable()
 	for i := range 20 {
@@ -122,6 +122,22 @@
 	g.Expect(table.Check(start.Add(time.Second), []suspect.Segment{firstSegment})).To(gomega.Succeed())
 }
 
+// Guards against attempts that count as crashed because an instance that was cut off took the engine for crashed long ago.
+func TestOldCrashDoesNotCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newSegmentTable()
+	for i := range 3 {
+		crash(g, table, start, fmt.Sprint("e", i), []suspect.Segment{firstSegment})
+	}
+	later := start.Add(11 * time.Second)
+	for i := range 3 {
+		left, err := table.Begin(later, fmt.Sprint("e", i), []suspect.Segment{otherSegment})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		left.End(later, suspect.Unresolved)
+	}
+	g.Expect(table.State(later)).To(gomega.HaveLen(1))
+}
+
 // Guards against a crash that counts once for each instance that sees it, and against evidence that is lost or counted
 // anew when records arrive twice or an instance starts again.
 func TestRecordsOfInstancesAddUp(t *testing.T) {
@@ -148,6 +164,23 @@
 	expectRefused(g, newcomer, start, crashingSegment)
 }
 
+// Guards against a refused segment that is forgotten, or ends the process, when other segments fill the table.
+func TestFullTableKeepsRefusedSegments(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newSegmentTable()
+	for i := range 3 {
+		crash(g, table, start, fmt.Sprint("e", i), []suspect.Segment{crashingSegment})
+	}
+	for i := range 11 {
+		many := make([]suspect.Segment, 1000)
+		for j := range many {
+			many[j] = suspect.Segment(0x10000 + 1000*i + j)
+		}
+		crash(g, table, start.Add(time.Second), fmt.Sprint("full-", i), many)
+	}
+	expectRefused(g, table, start.Add(time.Second), crashingSegment)
+}
+
 // Guards against a segment that is refused for good, also by the records of an instance that is gone.
 func TestRefusalExpires(t *testing.T) {
 	g := gomega.NewWithT(t)
