suspect: an outage of all engines does not refuse common segments

What callers could see: when many engines crash at the same moment for a reason of their own, a segment that runs on all of them, such as a system prompt, had five crashes at once and was refused; while no engine is left to answer, nothing clears it, and afterwards requests with it are refused, so it could stay so for ten minutes.

Change: a segment that engines have answered before is refused only after three rounds of crashes, each of 2 s, in which nothing answered it. A segment that no engine has ever answered is refused after three crashes as before.

--- a/suspect/segment_cover.go
+++ b/suspect/segment_cover.go
@@ -9,9 +9,9 @@
 const (
 	// maxSegmentCrashes is the number of crashes after which a segment is refused that no engine has answered.
 	maxSegmentCrashes = maxCrashes
-	// maxAnsweredCrashes is the same for a segment that engines have answered before. Crashes that have another cause
-	// gather at such a segment while no engine is left to answer it.
-	maxAnsweredCrashes = 5
+	// maxAnsweredRounds is the number of rounds of crashes after which a segment is refused that engines have answered
+	// before. Many engines can crash at the same time for another reason, and none may be left to answer.
+	maxAnsweredRounds = 3
 )
 
 // findCrashingSegments decides which segments cause the crashes while requests with many segments, a few of which crash
@@ -19,7 +19,7 @@
 // most crashes is taken as the cause of all of them; the others must have caused the remaining crashes to be found, too.
 func findCrashingSegments(records map[Segment]*segmentRecord) map[Segment]bool {
 	found := make(map[Segment]bool)
-	explained := make(map[crashID]struct{})
+	explained := make(crashSet)
 	ids := slices.Sorted(maps.Keys(records))
 	for {
 		best := mostUnexplained(records, ids, explained)
@@ -33,9 +33,7 @@
 				found[id] = true
 			}
 		}
-		for id := range best.crashes {
-			explained[id] = struct{}{}
-		}
+		maps.Copy(explained, best.crashes)
 	}
 }
 
@@ -46,12 +44,9 @@
 	most := 0
 	for _, id := range ids {
 		rec := records[id]
-		limit := maxSegmentCrashes
-		if rec.answered {
-			limit = maxAnsweredCrashes
-		}
-		n := rec.unexplained(explained)
-		if n < limit {
+		unexplained := rec.crashes.without(explained)
+		n := len(unexplained)
+		if n < maxSegmentCrashes || rec.answered && unexplained.rounds() < maxAnsweredRounds {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(n, most), compareAnswered(best, rec)) > 0 {
--- a/suspect/segment_merge.go
+++ b/suspect/segment_merge.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -60,7 +59,7 @@
 	rec.own = rec.own || own
 	rec.shared = rec.shared || own
 	for _, id := range record.Disproved {
-		if rec.disprove(crashID(id)) {
+		if rec.disprove(now, crashID(id)) {
 			changed.merged = true
 		}
 	}
@@ -72,12 +71,3 @@
 		t.blame(now, crashID(id), record.AtUnixMilli, changed)
 	}
 }
-
-func (s crashSet) ids() []uint64 {
-	ids := make([]uint64, 0, len(s))
-	for id := range maps.Keys(s) {
-		ids = append(ids, uint64(id))
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/suspect/segment_record.go
+++ b/suspect/segment_record.go
@@ -1,15 +1,22 @@
 package suspect
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // maxCrashesPerSegment bounds the crashes that a record holds. A segment is refused long before.
 const maxCrashesPerSegment = 32
 
+// roundTime is the time within which all instances notice the crashes of engines that crash together.
+const roundTime = 2 * time.Second
+
 // crashID identifies the crash of one incarnation of an engine. Instances that see the same crash use the same ID.
 type crashID uint64
 
-// crashSet is a set of crashes.
-type crashSet map[crashID]struct{}
+// crashSet holds crashes and when this process learned of each.
+type crashSet map[crashID]time.Time
 
 func (s crashSet) has(id crashID) bool {
 	_, found := s[id]
@@ -17,24 +24,49 @@
 }
 
 // add adds a crash and reports whether it is new. A full set stays as it is.
-func (s crashSet) add(id crashID) bool {
+func (s crashSet) add(now time.Time, id crashID) bool {
 	if s.has(id) || len(s) >= maxCrashesPerSegment {
 		return false
 	}
-	s[id] = struct{}{}
+	s[id] = now
 	return true
 }
 
+// without returns the crashes that are not in another set.
+func (s crashSet) without(other crashSet) crashSet {
+	rest := make(crashSet)
+	for id, at := range s {
+		if !other.has(id) {
+			rest[id] = at
+		}
+	}
+	return rest
+}
+
+// equal reports whether the sets have the same crashes.
 func (s crashSet) equal(other crashSet) bool {
-	if len(s) != len(other) {
-		return false
+	return len(s) == len(other) && len(s.without(other)) == 0
+}
+
+// rounds returns the number of rounds of crashes. A round consists of the crashes within roundTime of its first one.
+func (s crashSet) rounds() int {
+	n := 0
+	var first time.Time
+	for _, at := range slices.SortedFunc(maps.Values(s), time.Time.Compare) {
+		if n == 0 || at.Sub(first) >= roundTime {
+			n, first = n+1, at
+		}
 	}
+	return n
+}
+
+func (s crashSet) ids() []uint64 {
+	ids := make([]uint64, 0, len(s))
 	for id := range s {
-		if !other.has(id) {
-			return false
-		}
+		ids = append(ids, uint64(id))
 	}
-	return true
+	slices.Sort(ids)
+	return ids
 }
 
 // segmentRecord holds the evidence about one segment. Both sets only grow, so that the records of several instances can
@@ -62,7 +94,7 @@
 
 // addCrash adds a crash unless it is disproved. It reports whether the crash is new.
 func (r *segmentRecord) addCrash(now time.Time, id crashID, atUnixMilli int64) bool {
-	if r.disproved.has(id) || !r.crashes.add(id) {
+	if r.disproved.has(id) || !r.crashes.add(now, id) {
 		return false
 	}
 	r.changed, r.changedUnixMilli = now, max(r.changedUnixMilli, atUnixMilli)
@@ -70,22 +102,11 @@
 }
 
 // disprove moves a crash to the disproved ones. It reports whether the crash counted until then.
-func (r *segmentRecord) disprove(id crashID) bool {
-	r.disproved.add(id)
+func (r *segmentRecord) disprove(now time.Time, id crashID) bool {
+	r.disproved.add(now, id)
 	counted := r.crashes.has(id)
 	delete(r.crashes, id)
 	return counted
 }
 
 func (r *segmentRecord) expired(now time.Time) bool { return now.Sub(r.changed) >= suspicionTTL }
-
-// unexplained returns the number of crashes that are not in a set.
-func (r *segmentRecord) unexplained(explained crashSet) int {
-	n := 0
-	for id := range r.crashes {
-		if !explained.has(id) {
-			n++
-		}
-	}
-	return n
-}
--- a/suspect/segment_table.go
+++ b/suspect/segment_table.go
@@ -106,7 +106,7 @@
 	crashed = crashed && now.Sub(noticed) < crashReportDelay
 	switch {
 	case result == Answered:
-		t.clearSegments(a.segments, changed)
+		t.clearSegments(now, a.segments, changed)
 		t.forget(a)
 	case result == NotRun:
 		t.forget(a)
@@ -139,7 +139,7 @@
 }
 
 // clearSegments disproves the crashes of segments that an engine has answered.
-func (t *SegmentTable) clearSegments(segments []Segment, changed *segmentChanges) {
+func (t *SegmentTable) clearSegments(now time.Time, segments []Segment, changed *segmentChanges) {
 	for _, s := range segments {
 		t.answered.add(s)
 		rec := t.records[s]
@@ -157,7 +157,7 @@
 			rec.own, changed.share = true, true
 		}
 		for id := range rec.crashes {
-			rec.disprove(id)
+			rec.disprove(now, id)
 		}
 	}
 }
