suspect: only a successful response clears a prompt segment

What callers could see: beside replicas that fail some requests, a segment that crashes replicas would not be refused: an error response (500) of a replica that had not begun to answer cleared its crashes, and the segment then counted as one that engines had answered. Found while reading the change.

Change: only a complete response with status 2xx counts as an answer.

--- a/entry/crashing_segment_test.go
+++ b/entry/crashing_segment_test.go
@@ -28,6 +28,8 @@
 	stopped  atomic.Bool
 	crashes  atomic.Int32
 	arrivals atomic.Int32 // of requests with the segment, at any replica
+	// failing makes decode replicas respond to every second request with the segment with an error of their own.
+	failing bool
 }
 
 func newCrashingFleet(s *routedFleet, prefill, decode int) *crashingFleet {
@@ -59,6 +61,10 @@
 			writeEvents(w, 0, 2)
 			return
 		}
+		if c.failing && c.arrivals.Load()%4 == 0 {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		w.WriteHeader(http.StatusOK)
 		http.NewResponseController(w).Flush()
 		time.Sleep(50 * time.Millisecond)
@@ -91,7 +97,12 @@
 }
 
 // Guards against requests that differ but share a prompt segment and crash replicas without end.
-func TestSegmentThatCrashesReplicasIsRefused(t *testing.T) {
+func TestSegmentThatCrashesReplicasIsRefused(t *testing.T) { expectSegmentRefused(t, false) }
+
+// Guards against a replica's error response that clears a segment although the replica has not begun to answer the prompt.
+func TestErrorResponseDoesNotClearSegment(t *testing.T) { expectSegmentRefused(t, true) }
+
+func expectSegmentRefused(t *testing.T, failing bool) {
 	const (
 		soundSegments = "a1:4800,b1:1500"
 		allSegments   = soundSegments + "," + crashingSegment + ":400"
@@ -100,6 +111,7 @@
 	)
 	inRoutedFleet(t, func(s *routedFleet) {
 		c := newCrashingFleet(s, 2, 3)
+		c.failing = failing
 		defer c.stop()
 		for c.crashes.Load() < 5 {
 			c.generate(allSegments)
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -52,7 +52,9 @@
 	// response is the last buffered response. An error response is passed on to the caller if no later attempt gets a
 	// better one.
 	response *bufferedResponse
-	// closeDelimited reports whether only the end of the connection marked the end of the last response.
+	// status is that of the last response that was not a refusal. closeDelimited reports whether only the end of the
+	// connection marked the end of it.
+	status         int
 	closeDelimited bool
 	// headerWritten is set once the header of a stream has been written, lastEvent is the ID of the last event that the
 	// caller has, or -1.
@@ -157,7 +159,7 @@
 		return err
 	}
 	defer ex.Close()
-	x.closeDelimited = !ex.Delimited()
+	x.status, x.closeDelimited = ex.Status(), !ex.Delimited()
 	if load := ex.Info().Load; load != nil {
 		balancer.UpdateLoad(time.Now(), attempt.Replica, load)
 	}
--- a/entry/routed_suspects.go
+++ b/entry/routed_suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,7 +58,7 @@
 	switch {
 	case err == nil:
 		tracked.RecordSuccess(time.Now())
-		if x.certainlyComplete(ctx, attempt.Replica) {
+		if x.answered(ctx, attempt.Replica) {
 			result = suspect.Answered
 		}
 	case errors.Is(err, errServerError):
@@ -80,9 +81,12 @@
 	return x.routing.Pool.ConnectionRefused(context.WithoutCancel(ctx), replica.Address)
 }
 
-// certainlyComplete reports whether a response that looks complete is. One that ends with its connection looks complete
-// also if the replica crashed between two events.
-func (x *routedExchange) certainlyComplete(ctx context.Context, replica *upstream.Replica) bool {
+// answered reports whether the replica has certainly answered the prompt. An error response can come from a replica that
+// has not begun to, and one that ends with its connection looks complete also if the replica crashed between two events.
+func (x *routedExchange) answered(ctx context.Context, replica *upstream.Replica) bool {
+	if x.status >= http.StatusMultipleChoices {
+		return false
+	}
 	return !x.closeDelimited || len(x.segments) == 0 || !x.replicaGone(ctx, replica)
 }
 
