suspect: a replica's failure does not clear a suspect request

Callers could see a request that crashes replicas go on crashing them beside replicas that fail some requests: each 500 counted as an answer and cleared the request, although the replica may have failed it before it ran.

Change: a response with status 5xx neither clears nor blames a request.

--- a/entry/routed_suspects.go
+++ b/entry/routed_suspects.go
@@ -56,13 +56,13 @@
 	defer func() { prompt.End(time.Now(), result) }()
 	err = x.send(ctx, attempt, uncached)
 	switch {
-	case err == nil:
+	case err == nil && x.status < http.StatusInternalServerError:
 		tracked.RecordSuccess(time.Now())
 		if x.answered(ctx, attempt.Replica) {
 			result = suspect.Answered
 		}
-	case errors.Is(err, errServerError):
-		tracked.RecordSuccess(time.Now())
+	case err == nil, errors.Is(err, errServerError):
+		// The replica may have failed before it ran the request, so nothing is known.
 	case errors.Is(err, relay.ErrNotSent), errors.Is(err, relay.ErrRefused):
 		result = suspect.NotRun
 	case errors.Is(err, relay.ErrIncompleteResponse) && !errors.Is(err, relay.ErrResponseMismatch) && x.replicaGone(ctx, attempt.Replica):
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -450,6 +450,30 @@
 	})
 }
 
+// Guards against a crashing request that is no longer suspect after a replica has failed it without running it.
+func TestErrorResponseDoesNotClearRequest(t *testing.T) {
+	inRoutedFleet(t, func(s *routedFleet) {
+		crashes, arrivals := 0, 0
+		for range 8 {
+			var addr string
+			addr = s.replica("plain", upstream.Whole, func(w http.ResponseWriter, r *http.Request) {
+				if arrivals++; arrivals%2 == 0 {
+					w.WriteHeader(http.StatusInternalServerError)
+					return
+				}
+				crashes++
+				s.net.Kill(addr)
+				breakConnection(w)
+			})
+		}
+		for range 12 {
+			s.call("/order/poison")
+			time.Sleep(5 * time.Second)
+		}
+		s.Expect(crashes).To(gomega.BeNumerically("<=", 3))
+	})
+}
+
 // Guards against requests that are still sent to a replica that accepts requests but never responds.
 func TestSilentReplicaIsAvoided(t *testing.T) {
 	inRoutedFleet(t, func(s *routedFleet) {
