suspect: tell segments apart that crashed together; try uncertain refusals again

What callers could see: where requests with a crashing segment come before any prompt has been answered, as after a start, sound requests with the same first segments were refused as well, and nothing could ever clear them.

Cause: the evidence is the same, and once a segment is refused no answer can clear it.

Change: a segment is refused after three crashes only if no other unanswered segment ran in them; otherwise, and for a segment that engines have answered before, it takes three rounds of 2 s. Such an uncertain refusal is tried again by one attempt of each instance 5 to 10 s after the last crash or trial. The soak now also requires that sound requests are served at the end.

--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -69,7 +69,7 @@
 	r.store = platform.New(s.Platform, r.metrics)
 	shared := newSuspicions(r.store, s.Instance, logger)
 	shared.table = suspect.New(suspect.Options{Self: member.NewID(s.Instance), Publish: func(*peerpb.Suspicion) { shared.scheduleWrite() }, Logger: logger})
-	shared.segments = suspect.NewSegmentTable(suspect.SegmentOptions{OnChange: shared.scheduleWrite, Logger: logger})
+	shared.segments = suspect.NewSegmentTable(suspect.SegmentOptions{Self: s.Instance, OnChange: shared.scheduleWrite, Logger: logger})
 	r.suspicions = shared
 	relay := &storeRelay{region: s.Region, zone: s.Zone}
 	r.discovery = discovery.New(discovery.Options{
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -40,7 +40,9 @@
 	fingerprint suspect.Fingerprint
 	// segments are those of the prompt that other requests can share.
 	segments []suspect.Segment
-	deadline time.Time
+	// segmentTrial is set if the request may be sent although a segment is refused.
+	segmentTrial bool
+	deadline     time.Time
 	// prefills counts the remote prefills of the request.
 	prefills int
 	// cacheHandle names the KV cache of the processed prompt, cacheSource is the replica that holds it; nil if there is
--- a/entry/routed_suspects.go
+++ b/entry/routed_suspects.go
@@ -22,8 +22,11 @@
 // other suspects. allowedReplicas returns an error if the suspect must not run at present, or if a segment of the prompt
 // crashes replicas.
 func (x *routedExchange) allowedReplicas(now time.Time, replicas []*upstream.Replica) ([]*upstream.Replica, error) {
-	if err := x.server.opts.Segments.Check(now, x.segments); err != nil {
-		return nil, errors.Mark(err, pipeline.ErrFinal)
+	if !x.segmentTrial {
+		var err error
+		if x.segmentTrial, err = x.server.opts.Segments.Check(now, x.segments); err != nil {
+			return nil, errors.Mark(err, pipeline.ErrFinal)
+		}
 	}
 	avoid, err := x.server.opts.Suspects.Check(now, x.fingerprint)
 	if err != nil {
@@ -48,10 +51,11 @@
 		return errors.Mark(errors.Mark(err, pipeline.ErrNotSent), pipeline.ErrFinal)
 	}
 	defer func() { tracked.End(time.Now()) }()
-	prompt, err := x.server.opts.Segments.Begin(time.Now(), upstream.Key(attempt.Replica), x.segments)
+	prompt, err := x.server.opts.Segments.Begin(time.Now(), upstream.Key(attempt.Replica), x.segments, x.segmentTrial)
 	if err != nil {
 		return errors.Mark(errors.Mark(err, pipeline.ErrNotSent), pipeline.ErrFinal)
 	}
+	x.segmentTrial = false // a trial is one attempt
 	result := suspect.Unresolved
 	defer func() { prompt.End(time.Now(), result) }()
 	err = x.send(ctx, attempt, uncached)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -97,7 +97,7 @@
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(callerDeadline.Milliseconds()))
 	if c.kind == pathGrade {
 		req.Header.Set(platform.HeaderTokens, "9000,20")
-		req.Header.Set(platform.HeaderPrefix, "1:2500,2:3800,3:2700")
+		req.Header.Set(platform.HeaderPrefix, soundSegments+",3:2700")
 		if c.segments != "" {
 			req.Header.Set(platform.HeaderPrefix, fmt.Sprintf(c.segments, xxhash.Sum64String(id)))
 		}
--- a/suspect/segment_cover.go
+++ b/suspect/segment_cover.go
@@ -9,13 +9,13 @@
 const (
 	// maxSegmentCrashes is the number of crashes after which a segment is refused that no engine has answered.
 	maxSegmentCrashes = maxCrashes
-	// maxAnsweredRounds is the number of rounds of crashes after which a segment is refused that engines have answered
-	// before. Many engines can crash at the same time for another reason, and none may be left to answer.
-	maxAnsweredRounds = 3
+	// maxUncertainRounds is the number of rounds of crashes after which a segment is refused whose crashes may well have
+	// another cause. Many engines can crash within a moment, and none may be left to answer.
+	maxUncertainRounds = 3
 )
 
 // findCrashingSegments decides which segments cause the crashes while requests with many segments, a few of which crash
-// engines, run side by side. Each crash counts against all segments that ran on the engine, so the segment with the
+// engines, run side by side. The value says whether the finding is certain. Each crash counts against all segments that ran on the engine, so the segment with the
 // most crashes is taken as the cause of all of them; the others must have caused the remaining crashes to be found, too.
 func findCrashingSegments(records map[Segment]*segmentRecord) map[Segment]bool {
 	found := make(map[Segment]bool)
@@ -30,7 +30,7 @@
 			// A segment with the same evidence cannot be told apart.
 			rec := records[id]
 			if rec == best || rec.answered == best.answered && rec.crashes.equal(best.crashes) {
-				found[id] = true
+				found[id] = !uncertain(records, rec)
 			}
 		}
 		maps.Copy(explained, best.crashes)
@@ -46,7 +46,7 @@
 		rec := records[id]
 		unexplained := rec.crashes.without(explained)
 		n := len(unexplained)
-		if n < maxSegmentCrashes || rec.answered && unexplained.rounds() < maxAnsweredRounds {
+		if n < maxSegmentCrashes || uncertain(records, rec) && unexplained.rounds() < maxUncertainRounds {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(n, most), compareAnswered(best, rec)) > 0 {
@@ -56,6 +56,20 @@
 	return best
 }
 
+// uncertain reports whether the crashes of a segment may well have another cause: engines have answered the segment before,
+// or another one that they have not answered either ran in all of its crashes but one, which may not have been noticed.
+func uncertain(records map[Segment]*segmentRecord, rec *segmentRecord) bool {
+	if rec.answered {
+		return true
+	}
+	for _, other := range records {
+		if other != rec && !other.answered && len(rec.crashes.without(other.crashes)) <= 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // compareAnswered returns 1 if only a has been answered, and -1 if only b has.
 func compareAnswered(a, b *segmentRecord) int {
 	switch {
--- a/suspect/segment_record.go
+++ b/suspect/segment_record.go
@@ -84,6 +84,8 @@
 	shared bool
 	// changed is when the latest crash was added, on the clock of this process.
 	changed time.Time
+	// tried is when this instance last sent a trial.
+	tried time.Time
 	// changedUnixMilli is when the latest crash was recorded, on the clock of the instance that recorded it.
 	changedUnixMilli int64
 }
--- a/suspect/segment_state.go
+++ b/suspect/segment_state.go
@@ -11,7 +11,8 @@
 	Crashes  int     `json:"crashes"`
 	Answered bool    `json:"answered"` // an engine has ever answered it
 	Refused  bool    `json:"refused"`
-	AgeMs    int64   `json:"age_ms"` // since the last crash became known
+	Certain  bool    `json:"certain"` // if refused; otherwise it is tried again now and then
+	AgeMs    int64   `json:"age_ms"`  // since the last crash became known
 }
 
 // State returns the segments that are blamed for crashes.
@@ -21,7 +22,8 @@
 	all := []SegmentState{}
 	for s, rec := range t.records {
 		if len(rec.crashes) > 0 && !rec.expired(now) {
-			all = append(all, SegmentState{s, len(rec.crashes), rec.answered, t.refused[s], now.Sub(rec.changed).Milliseconds()})
+			certain, refused := t.refused[s]
+			all = append(all, SegmentState{s, len(rec.crashes), rec.answered, refused, certain, now.Sub(rec.changed).Milliseconds()})
 		}
 	}
 	slices.SortFunc(all, func(a, b SegmentState) int { return b.Crashes - a.Crashes })
--- a/suspect/segment_table.go
+++ b/suspect/segment_table.go
@@ -14,12 +14,18 @@
 	// unresolvedTTL is how long an attempt without an answer may still turn out to have run on an engine that crashed.
 	// Its caller may leave before the crash is noticed, and another instance may be the one that notices it.
 	unresolvedTTL = 3 * time.Second
+	// trialPause is the time after the last crash, or the last trial, after which an instance tries a refused segment again
+	// whose crashes may have another cause. The instances do so at different times within trialSpread.
+	trialPause  = 5 * time.Second
+	trialSpread = 5 * time.Second
 	// maxSegments bounds the records, except for those of refused segments.
 	maxSegments = 10_000
 )
 
 // SegmentOptions configure a SegmentTable.
 type SegmentOptions struct {
+	// Self is the ID of this process.
+	Self string
 	// OnChange is called after a change that other instances should learn. It is called without the table's lock and
 	// must not block. It may be nil.
 	OnChange func()
@@ -33,7 +39,7 @@
 
 	mu      sync.Mutex
 	records map[Segment]*segmentRecord
-	// refused is findCrashingSegments of records.
+	// refused is findCrashingSegments of records: the refused segments, and whether their finding is certain.
 	refused  map[Segment]bool
 	answered recentSegments
 	// attempts holds those that run and the unresolved ones, by the crash that would explain them.
@@ -51,16 +57,19 @@
 	}
 }
 
-// Check returns an error marked ErrRefused if a request has a segment that crashes engines.
-func (t *SegmentTable) Check(now time.Time, segments []Segment) error {
+// Check returns an error marked ErrRefused if a request has a segment that crashes engines. It returns trial if the request
+// may be sent to find out whether a refused segment is sound.
+func (t *SegmentTable) Check(now time.Time, segments []Segment) (trial bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.check(now, segments)
 }
 
-func (t *SegmentTable) check(now time.Time, segments []Segment) error {
+func (t *SegmentTable) check(now time.Time, segments []Segment) (trial bool, err error) {
+	var tried []*segmentRecord
 	for _, s := range segments {
-		if !t.refused[s] {
+		certain, refused := t.refused[s]
+		if !refused {
 			continue
 		}
 		rec := t.records[s]
@@ -68,21 +77,40 @@
 			t.prune(now)
 			return t.check(now, segments)
 		}
-		return errors.Mark(errors.Newf("suspect: %d engines crashed with prompt segment %s, the last one %s ago", len(rec.crashes), s,
+		if !certain && !now.Before(t.nextTrial(s, rec)) {
+			tried = append(tried, rec)
+			continue
+		}
+		return false, errors.Mark(errors.Newf("suspect: %d engines crashed with prompt segment %s, the last one %s ago", len(rec.crashes), s,
 			now.Sub(rec.changed).Round(time.Millisecond)), ErrRefused)
 	}
-	return nil
+	for _, rec := range tried {
+		rec.tried = now
+	}
+	return len(tried) > 0, nil
 }
 
-// Begin registers an attempt on an incarnation of an engine. It returns an error like Check. End must be called.
-func (t *SegmentTable) Begin(now time.Time, incarnation string, segments []Segment) (*SegmentAttempt, error) {
+// nextTrial returns when this instance may try a refused segment again.
+func (t *SegmentTable) nextTrial(s Segment, rec *segmentRecord) time.Time {
+	last := rec.changed
+	if rec.tried.After(last) {
+		last = rec.tried
+	}
+	return last.Add(trialPause + time.Duration(xxhash.Sum64String(t.opts.Self+"/"+s.String())%uint64(trialSpread)))
+}
+
+// Begin registers an attempt on an incarnation of an engine. It returns an error marked ErrRefused like Check, unless the
+// request is a trial. End must be called.
+func (t *SegmentTable) Begin(now time.Time, incarnation string, segments []Segment, trial bool) (*SegmentAttempt, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.prunedAt) >= unresolvedTTL {
 		t.prune(now)
 	}
-	if err := t.check(now, segments); err != nil {
-		return nil, err
+	if !trial {
+		if _, err := t.check(now, segments); err != nil {
+			return nil, err
+		}
 	}
 	a := &SegmentAttempt{table: t, crash: crashID(xxhash.Sum64String(incarnation)), engine: incarnation, segments: segments}
 	if len(segments) > 0 {
@@ -153,7 +181,7 @@
 		changed.cleared = append(changed.cleared, s)
 		// The instances that share a record disprove its crashes themselves as soon as they get an answer. Only where the
 		// segment is refused may they get none.
-		if rec.own && rec.shared || t.refused[s] {
+		if _, refused := t.refused[s]; refused || rec.own && rec.shared {
 			rec.own, changed.share = true, true
 		}
 		for id := range rec.crashes {
@@ -169,7 +197,7 @@
 	}
 	refused := findCrashingSegments(t.records)
 	for s := range refused {
-		if !t.refused[s] {
+		if _, already := t.refused[s]; !already {
 			changed.refused = append(changed.refused, refusedSegment{s, len(t.records[s].crashes), now.Sub(t.records[s].changed)})
 		}
 	}
@@ -202,7 +230,7 @@
 	var oldest Segment
 	var found *segmentRecord
 	for s, rec := range t.records {
-		if !t.refused[s] && (found == nil || rec.changed.Before(found.changed)) {
+		if _, refused := t.refused[s]; !refused && (found == nil || rec.changed.Before(found.changed)) {
 			oldest, found = s, rec
 		}
 	}
