suspect: a crash under a trial settles an uncertain refusal

Without this, each instance would go on trying a segment that crashes engines although they had answered it before, one replica after another. A crash under a trial now makes the refusal certain for all instances, and they try at different times within 10 s.

--- a/suspect/segment_attempt.go
+++ b/suspect/segment_attempt.go
@@ -22,6 +22,7 @@
 	crash    crashID // the ID that a crash of the engine has
 	engine   string
 	segments []Segment
+	trial    bool
 	endedAt  time.Time // zero while the attempt runs
 }
 
--- a/suspect/segment_cover.go
+++ b/suspect/segment_cover.go
@@ -57,10 +57,11 @@
 }
 
 // uncertain reports whether the crashes of a segment may well have another cause: engines have answered the segment before,
-// or another one that they have not answered either ran in all of its crashes but one, which may not have been noticed.
+// or another one that they have not answered either ran in all of its crashes but one, which may not have been noticed. A
+// crash under a trial settles it.
 func uncertain(records map[Segment]*segmentRecord, rec *segmentRecord) bool {
-	if rec.answered {
-		return true
+	if rec.confirmed || rec.answered {
+		return !rec.confirmed
 	}
 	for _, other := range records {
 		if other != rec && !other.answered && len(rec.crashes.without(other.crashes)) <= 1 {
--- a/suspect/segment_merge.go
+++ b/suspect/segment_merge.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		all = append(all, &peerpb.CrashingSegment{
-			Segment: uint64(s), Crashes: rec.crashes.ids(), Disproved: rec.disproved.ids(), Answered: rec.answered,
+			Segment: uint64(s), Crashes: rec.crashes.ids(), Disproved: rec.disproved.ids(), Answered: rec.answered, Confirmed: rec.confirmed,
 			AtUnixMilli: rec.changedUnixMilli,
 		})
 	}
@@ -56,6 +56,9 @@
 	}
 	rec := t.recordFor(now, Segment(record.Segment))
 	rec.answered = rec.answered || record.Answered
+	if record.Confirmed && !rec.confirmed {
+		rec.confirmed, changed.merged = true, true
+	}
 	rec.own = rec.own || own
 	rec.shared = rec.shared || own
 	for _, id := range record.Disproved {
--- a/suspect/segment_record.go
+++ b/suspect/segment_record.go
@@ -78,6 +78,8 @@
 	disproved crashSet
 	// answered is set if an engine has ever answered a request with the segment.
 	answered bool
+	// confirmed is set if an engine has crashed under a trial of the segment.
+	confirmed bool
 	// own is set if this instance, or an earlier process of it, has contributed to the record and shares it.
 	own bool
 	// shared is set once the record has been returned for the other instances.
--- a/suspect/segment_table.go
+++ b/suspect/segment_table.go
@@ -15,9 +15,10 @@
 	// Its caller may leave before the crash is noticed, and another instance may be the one that notices it.
 	unresolvedTTL = 3 * time.Second
 	// trialPause is the time after the last crash, or the last trial, after which an instance tries a refused segment again
-	// whose crashes may have another cause. The instances do so at different times within trialSpread.
+	// whose crashes may have another cause. The instances do so at different times within trialSpread, so that most learn
+	// the result of the first one in time.
 	trialPause  = 5 * time.Second
-	trialSpread = 5 * time.Second
+	trialSpread = 10 * time.Second
 	// maxSegments bounds the records, except for those of refused segments.
 	maxSegments = 10_000
 )
@@ -112,7 +113,7 @@
 			return nil, err
 		}
 	}
-	a := &SegmentAttempt{table: t, crash: crashID(xxhash.Sum64String(incarnation)), engine: incarnation, segments: segments}
+	a := &SegmentAttempt{table: t, crash: crashID(xxhash.Sum64String(incarnation)), engine: incarnation, segments: segments, trial: trial}
 	if len(segments) > 0 {
 		if t.attempts[a.crash] == nil {
 			t.attempts[a.crash] = make(map[*SegmentAttempt]struct{})
@@ -159,6 +160,8 @@
 			rec := t.recordFor(now, s)
 			if rec.addCrash(now, crash, atUnixMilli) {
 				rec.own = true
+				_, refused := t.refused[s]
+				rec.confirmed = rec.confirmed || a.trial && refused
 				changed.blame(a.engine, s, len(rec.crashes))
 			}
 		}
