soak: entries of replicas that have ended lapse

On the users' platform such entries lapse after three heartbeats, so this is a fault of the stand-in, older than the check that shows it. The soak now removes them again every 3 s. No check is changed.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 
 	mu              sync.Mutex
 	replicas        []*replica
+	ended           []string // keys of replicas that have ended
 	replicasStarted int
 	routesVersion   int64
 }
@@ -158,11 +160,35 @@
 	}
 	c.mu.Unlock()
 	c.writer.remove(key)
+	c.mu.Lock()
+	c.ended = append(c.ended, key)
+	c.mu.Unlock()
 	if err := c.addReplica(service, initialStage); err != nil {
 		c.recorder.recordViolation("soak: cannot start a new replica: %v", err)
 	}
 }
 
+// expireEntries removes the entries of replicas that have ended again and again, as the users' platform does: a write that
+// the store executes late would otherwise list a replica for good.
+func (c *cluster) expireEntries(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(entryLifetime):
+		}
+		c.mu.Lock()
+		ended := slices.Clone(c.ended)
+		c.mu.Unlock()
+		for _, key := range ended {
+			c.writer.remove(key)
+		}
+	}
+}
+
+// entryLifetime is how long the entry of a replica that has ended may stay in the store.
+const entryLifetime = 3 * time.Second
+
 // drainTime is how long a replica that leaves gracefully continues to serve.
 const drainTime = 3 * time.Second
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -56,6 +56,7 @@
 		watchers.Go(func() { i.watchRoutes(watching) })
 	}
 	c.callers.Go(func() { c.sendCrashing(c.stop) })
+	c.callers.Go(func() { c.expireEntries(c.stop) })
 	c.runFaults(opts)
 	deadline := time.Now().Add(recoveryTime)
 	var recovering sync.WaitGroup
