--- a/suspect/segment_cover.go
+++ b/suspect/segment_cover.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// maxSegmentCrashes is the number of crashes after which a segment is refused that no engine has answered.
+	// maxSegmentCrashes is the number of crashes after which a segment is refused.
 	maxSegmentCrashes = maxCrashes
 	// maxUncertainRounds is the number of rounds of crashes after which a segment is refused whose crashes may well have
 	// another cause. Many engines can crash within a moment, and none may be left to answer.
@@ -15,8 +15,9 @@
 )
 
 // findCrashingSegments decides which segments cause the crashes while requests with many segments, a few of which crash
-// engines, run side by side. The value says whether the finding is certain. Each crash counts against all segments that ran on the engine, so the segment with the
-// most crashes is taken as the cause of all of them; the others must have caused the remaining crashes to be found, too.
+// engines, run side by side. The value of a found segment says whether it is certainly a cause. Each crash counts against
+// all segments that ran on the engine, so the segment with the most crashes is taken as the cause of all of them; the
+// others must have caused enough of the remaining crashes to be found, too.
 func findCrashingSegments(records map[Segment]*segmentRecord) map[Segment]bool {
 	found := make(map[Segment]bool)
 	explained := make(crashSet)
