--- a/daemon/suspicions_test.go
+++ b/daemon/suspicions_test.go
@@ -93,8 +93,7 @@
 	}
 }
 
-// Guards against a segment that crashes replicas once for each instance, or again after the instance that saw a crash
-// has restarted and written its key anew.
+// Guards against a segment that crashes replicas once for each instance, or again after instances have restarted.
 func TestInstancesAddUpCrashesOfASegment(t *testing.T) {
 	const bad, other suspect.Segment = 0xbad, 0xa
 	for _, lose := range []int{0, 2} {
@@ -120,8 +119,7 @@
 	}
 }
 
-// Guards against a refused request that may crash replicas again, because instances that restart remove what their earlier
-// processes had shared.
+// Guards against a refused request that may crash replicas again after instances have restarted.
 func TestCrashesOfARequestSurviveRestarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newSuspicionFleet(t, 0, "a", "b", "c")
--- a/entry/replica_limit_test.go
+++ b/entry/replica_limit_test.go
@@ -54,8 +54,7 @@
 	return most
 }
 
-// Guards against a replica that gets more requests than the limit that it names in its answers, and against one that
-// stays limited after it no longer names one.
+// Guards against a replica that gets more requests than it says it takes, or stays limited after it has said so.
 func TestLimitOfReplicaIsKept(t *testing.T) {
 	const (
 		limit      = 5.0 // requests a second
--- a/place/limit_test.go
+++ b/place/limit_test.go
@@ -70,8 +70,7 @@
 	return most
 }
 
-// Guards against instances that together exceed the limit of a replica, also after a pause in which each has accumulated its
-// share, and against shares that leave most of the limit unused.
+// Guards against instances that together exceed the limit of a replica, also after a pause, or leave most of it unused.
 func TestInstancesKeepLimitTogether(t *testing.T) {
 	const window = 4 * time.Second
 	for _, instances := range []int{1, 9, 30, 300} {
--- a/suspect/events.go
+++ b/suspect/events.go
@@ -18,5 +18,5 @@
 		"An engine answered a request with a prompt segment that had been blamed for crashes, so it was not their cause.")
 	eventSegmentRefused = event.New(1104, "segment refused", slog.LevelError,
 		"A prompt segment is the likely cause of several crashes. Requests with it are refused for 10 minutes after the last "+
-			"crash, or until an engine answers one that is still running.")
+			"crash, or until an engine answers one. A refusal that is not certain is tried again by single requests.")
 )
--- a/suspect/segment_table_test.go
+++ b/suspect/segment_table_test.go
@@ -87,8 +87,7 @@
 	g.Expect(check(table, start, firstSegment)).To(gomega.Succeed())
 }
 
-// Guards against common segments that are refused with the crashing one because all engines crash before they have answered
-// a first request.
+// Guards against common segments that are refused with the crashing one because no engine has answered any request yet.
 func TestSegmentsAreToldApartBeforeTheFirstAnswer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table, other := newSegmentTable(), newSegmentTable()
@@ -108,8 +107,7 @@
 	}
 }
 
-// Guards against a common segment that is refused because all engines crash at once and none is left to answer, and
-// against one that is never refused although engines have crashed with it ever since an update.
+// Guards against a common segment that is refused because all engines crash at once and none is left to answer.
 func TestAnsweredSegmentSurvivesAnOutage(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table := newSegmentTable()
@@ -128,8 +126,7 @@
 	expectRefused(g, table, start.Add(8*time.Second), firstSegment)
 }
 
-// Guards against a common segment that stays refused after an outage, because no request with it is sent any more, and
-// against trials of a segment whose guilt is certain.
+// Guards against a common segment that stays refused after an outage because no request with it is sent any more.
 func TestUncertainRefusalIsTried(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table := newSegmentTable()
@@ -217,8 +214,7 @@
 	g.Expect(table.State(later)).To(gomega.HaveLen(1))
 }
 
-// Guards against a crash that counts once for each instance that sees it, and against evidence that is lost or counted
-// anew when records arrive twice or an instance starts again.
+// Guards against a crash that counts for each instance that sees it, and evidence that repetition or a restart changes.
 func TestRecordsOfInstancesAddUp(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a, b := newSegmentTable(), newSegmentTable()
@@ -368,8 +364,7 @@
 	f.restart(e, f.now.Add(3*time.Second))
 }
 
-// Guards against a crashing segment that is found too late among sound traffic, and against sound traffic that is
-// refused for it, with several instances and crashes that have other causes.
+// Guards against a crashing segment that is found too late among sound traffic, or for which sound traffic is refused.
 func TestCrashingSegmentIsFoundAmongSoundTraffic(t *testing.T) {
 	const (
 		knownAfter = 4 * time.Second // after the fifth crash by the segment
