--- a/review/lab/memory.go
+++ b/review/lab/memory.go
@@ -114,7 +114,7 @@
 	req, _ := http.NewRequest(http.MethodPost, "http://"+n.front+"/lohu930/2f", bytes.NewReader(body))
 	req.Host = "ficu95.example"
 	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", "4000")
+	req.Header.Set(names.Deadline, "4000")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -79,7 +79,7 @@
 func (r *replica) handle(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != r.id {
+	if expected := req.Header.Get(names.ExpectedReplica); expected != "" && expected != r.id {
 		record.printf("replica %s answers %s with 421", r.id, id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -89,7 +89,7 @@
 
 // sign sets the signature that a replica gives its answers.
 func (r *replica) sign(w http.ResponseWriter, req *http.Request) {
-	w.Header().Set("Response-Signature", fmt.Sprintf("%s.%s", r.id, req.Header.Get("Request-Id")))
+	w.Header().Set(names.Signature, fmt.Sprintf("%s.%s", r.id, req.Header.Get("Request-Id")))
 }
 
 // waitFor waits until a condition holds and fails the run if it does not within the time.
--- a/review/lab/resume_error.go
+++ b/review/lab/resume_error.go
@@ -78,10 +78,10 @@
 		req, _ := http.NewRequest(http.MethodPost, "http://"+n.front+"/lohu930/2f", strings.NewReader("prompt "+id))
 		req.Host = "ficu95.example"
 		req.Header.Set("Request-Id", id)
-		req.Header.Set("Deadline-Ms", "15000")
+		req.Header.Set(names.Deadline, "15000")
 		req.Header.Set("Model", "m")
-		req.Header.Set("Token-Count", "100,90")
-		req.Header.Set("Prefix-Hash", fmt.Sprintf("%x:40,%x:60", 0x5c1e07a2+number%8, 0x10000+number))
+		req.Header.Set(names.Tokens, "100,90")
+		req.Header.Set(names.Prompt, fmt.Sprintf("%x:40,%x:60", 0x5c1e07a2+number%8, 0x10000+number))
 		record.printf("client sends %s", id)
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
 		resp, err := client.Do(req)
@@ -97,7 +97,7 @@
 			framing = "not complete: " + err.Error()
 		}
 		record.printf("client gets for %s: status %d, signature %q, %d of %d events, %s; the last bytes: %q", id, resp.StatusCode,
-			resp.Header.Get("Response-Signature"), events, streamEvents, framing, string(body[max(0, len(body)-32):]))
+			resp.Header.Get(names.Signature), events, streamEvents, framing, string(body[max(0, len(body)-32):]))
 		switch {
 		case resp.StatusCode != http.StatusOK:
 		case err != nil:
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -197,7 +197,7 @@
 			return
 		}
 		reply(w, http.StatusNotFound, struct{}{})
-	case r.URL.Path == "/kv-txn":
+	case r.URL.Path == names.WritePath:
 		s.txn(w, r)
 	case r.URL.Path == "/kv-lease":
 		var body struct {
--- a/review/lab/storm.go
+++ b/review/lab/storm.go
@@ -107,7 +107,7 @@
 			req, _ := http.NewRequest(http.MethodPost, "http://"+n.front+"/lohu930/2f", strings.NewReader("order"))
 			req.Host = "ficu95.example"
 			req.Header.Set("Request-Id", id)
-			req.Header.Set("Deadline-Ms", "4000")
+			req.Header.Set(names.Deadline, "4000")
 			at := time.Now()
 			sent++
 			resp, err := client.Do(req)
