entry: never end a broken stream with another replica's failure

Cause: respondOrError passed on a buffered failure also if a stream had begun. Both orders occur: the stream breaks off and the replica that should continue it fails with any status, or the first replica fails and the stream of the second one breaks off. A status below 500 from the second replica even counted as success.

Change: a response that is not a stream is a failed attempt once a stream has begun, and a begun stream that no replica completes is always aborted. Event 311 names the last event of such a stream.

--- a/entry/events.go
+++ b/entry/events.go
@@ -31,7 +31,8 @@
 			"with the estimate for it and the age of the load report behind the estimate, and the number of attempts.")
 	eventRequestNotServed = event.New(311, "request not served", slog.LevelInfo,
 		"A routed request got an error from this instance, or a stream that was cut off. The attribute run says whether "+
-			"it may have run, left_ms how long the caller would still have waited, error how the last attempt failed.")
+			"it may have run, left_ms how long the caller would still have waited, error how the last attempt failed. Of a "+
+			"stream that was cut off, last_event is the ID of the last event that the caller got.")
 	eventLimitNamed = event.New(312, "replica limit", slog.LevelWarn,
 		"A replica names the number of requests a second that it takes from all instances together, or another number than "+
 			"before. The attribute share is the part that this instance sends, instances the number it is divided over.")
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -52,7 +52,7 @@
 	tried       map[upstream.Incarnation]bool
 	refused     map[upstream.Incarnation]bool
 	// response is the last buffered response. An error response is passed on to the caller if no later attempt gets a
-	// better one.
+	// better one or begins a stream.
 	response *bufferedResponse
 	// status is that of the last response that was not a refusal. closeDelimited reports whether only the end of the
 	// connection marked the end of it.
@@ -178,6 +178,10 @@
 		return err
 	}
 	balancer.RecordResponseTime(attempt.Replica, time.Since(sent))
+	if x.headerWritten {
+		// The caller has a part of the stream already, which this response cannot complete.
+		return errors.Mark(errors.Newf("entry: replica responded to a stream that it should continue with status %d", ex.Status()), errServerError)
+	}
 	x.response = &bufferedResponse{ex.Status(), ex.Header(), body}
 	if ex.Status() >= http.StatusInternalServerError && x.route.Repeatable() {
 		return errServerError
--- a/entry/routed_finish.go
+++ b/entry/routed_finish.go
@@ -31,12 +31,13 @@
 	return failed
 }
 
-// respondOrError writes the buffered response, if there is one, or returns the error for the caller.
+// respondOrError writes the buffered response, if there is one and no stream has begun, or returns the error for the
+// caller.
 func (x *routedExchange) respondOrError(ctx context.Context, err error) *Error {
-	if x.headerWritten && err == nil {
+	switch {
+	case x.headerWritten && err == nil:
 		return nil
-	}
-	if x.response != nil {
+	case !x.headerWritten && x.response != nil:
 		x.writeResponse(x.response)
 		return nil
 	}
@@ -102,6 +103,9 @@
 		attrs = append(attrs, logMillis("first_ms", x.firstByteAt.Sub(x.call.Arrived)))
 	}
 	attrs = append(attrs, x.lastPlacement.attrs()...)
+	if failed != nil && x.headerWritten {
+		attrs = append(attrs, slog.Int64("last_event", x.lastEvent))
+	}
 	if failed != nil {
 		attrs = append(attrs, slog.String("code", failed.Code), slog.String("run", string(failed.Run)),
 			slog.Int("status", failed.Status), logMillis("left_ms", time.Until(x.call.Deadline)),
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -305,6 +305,72 @@
 	})
 }
 
+// Guards against a broken stream that ends with another replica's failure and so looks complete.
+func TestBrokenStreamDoesNotEndWithFailure(t *testing.T) {
+	breakOff := func(w http.ResponseWriter) {
+		writeEvents(w, 1, 2)
+		breakConnection(w)
+	}
+	for _, status := range []int{http.StatusInternalServerError, http.StatusNotFound, http.StatusNoContent} {
+		fail := func(w http.ResponseWriter) {
+			w.WriteHeader(status)
+			io.WriteString(w, "internal error\n\n")
+		}
+		for name, answers := range map[string][]func(http.ResponseWriter){
+			"after the break": {breakOff, fail}, "before the break": {fail, breakOff},
+		} {
+			if name == "before the break" && status < http.StatusInternalServerError {
+				continue // such a response is final
+			}
+			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) {
+				inRoutedFleet(t, func(s *routedFleet) {
+					var asked atomic.Int64
+					for range answers {
+						s.replica("model", upstream.Whole, func(w http.ResponseWriter, _ *http.Request) { answers[asked.Add(1)-1](w) })
+					}
+					g := s.call("/chat/1")
+					s.Expect(asked.Load()).To(gomega.BeNumerically("==", len(answers)))
+					s.Expect(g.status).To(gomega.Equal(http.StatusOK))
+					s.Expect(g.err).To(gomega.MatchError(io.ErrUnexpectedEOF))
+					s.Expect(g.body).To(gomega.Equal("id: 1\ndata: x1\n\nid: 2\ndata: x2\n\n"))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a broken stream that is given up when one replica fails to continue it, although another one could.
+func TestBrokenStreamContinuesAfterFailure(t *testing.T) {
+	const earlier = 10 // requests that allow two retries
+	inRoutedFleet(t, func(s *routedFleet) {
+		table := routedTable()
+		table.Routes[2].MaxAttempts = 3
+		s.table.Store(table)
+		var asked atomic.Int64
+		for range 3 {
+			s.replica("model", upstream.Whole, func(w http.ResponseWriter, _ *http.Request) {
+				switch asked.Add(1) {
+				case earlier + 1:
+					writeEvents(w, 1, 2)
+					breakConnection(w)
+				case earlier + 2:
+					http.Error(w, "internal error", http.StatusInternalServerError)
+				case earlier + 3:
+					writeEvents(w, 3, 4)
+				default:
+					writeEvents(w, 1, 4)
+				}
+			})
+		}
+		for range earlier + 1 {
+			g := s.call("/chat/1")
+			s.Expect(g.err).NotTo(gomega.HaveOccurred())
+			s.Expect(g.body).To(gomega.Equal("id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\nid: 4\ndata: x4\n\n"))
+		}
+		s.Expect(asked.Load()).To(gomega.BeNumerically("==", earlier+3))
+	})
+}
+
 // Guards against a request that runs longer than the timeout of its route.
 func TestRouteTimeoutEndsRequest(t *testing.T) {
 	inRoutedFleet(t, func(s *routedFleet) {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -62,6 +62,7 @@
 	{"replica refuses", withReplicaFault(refuseRequests)},
 	{"replica loses answers", withReplicaFault(loseResponses)},
 	{"replica truncates answers", withReplicaFault(truncateResponses)},
+	{"replica fails requests", withReplicaFault(failRequests)},
 	{"replica adds bytes", withReplicaFault(sendExtraResponses)},
 	{"replica slow", withReplicaFault(slowResponses)},
 	{"replica sends heads without end", withReplicaFault(sendEndlessHeads)},
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -33,6 +34,7 @@
 	refuseRequests
 	loseResponses
 	truncateResponses
+	failRequests
 	sendExtraResponses
 	slowResponses
 	sendEndlessHeads
@@ -152,6 +154,11 @@
 	switch fault {
 	case loseResponses:
 		panic(http.ErrAbortHandler)
+	case failRequests:
+		if rand.IntN(2) == 0 {
+			http.Error(w, "internal error\n", http.StatusInternalServerError)
+			return
+		}
 	case sendEndlessHeads:
 		respondEndlessly(w, "HTTP/1.1 200 OK\r\n", "Name: value\r\n")
 		return
