discovery: keep one value of each key for peers, and bound their size

Cause: the feed kept the last 512 changes for peers, whatever their size, and each holds the whole value of its key.

Change: only the last change of each key is kept, since values are not deltas, and keys and values together take at most 8 MB. A peer that asks for older changes reads the store.

--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,8 +11,13 @@
 	"rhubarbpoint/topo"
 )
 
-// maxFeedEntries bounds the changes that are kept for peers: more than change while a peer moves to another source.
-const maxFeedEntries = 512
+const (
+	// maxFeedEntries bounds the changes that are kept for peers: more than change while a peer moves to another source.
+	maxFeedEntries = 512
+	// maxFeedBytes bounds the keys and values of these changes together. It is a small part of the memory of an instance
+	// and more than the routes and replicas of a large fleet take.
+	maxFeedBytes = 8 << 20
+)
 
 // ErrNotFollowing means that an instance has no changes to pass on: it does not follow the store, the store does not
 // respond to it, or the changes asked for are too old.
@@ -20,8 +26,10 @@
 // feed keeps the latest changes of the store for peers. It is safe for concurrent use.
 type feed struct {
 	mu sync.Mutex
-	// entries are the changes after revision floor, up to revision, in the order in which the store returned them.
+	// entries are the changes after revision floor, up to revision, in order of their revisions. Only the last change of
+	// each key is kept: values are not deltas, so a peer does not need the ones before it. bytes is their size.
 	entries         []topo.Entry
+	bytes           int
 	floor, revision int64
 	// confirmedAt is when the store last responded to this instance itself.
 	confirmedAt time.Time
@@ -37,7 +45,7 @@
 func (f *feed) restart(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries, f.floor, f.revision = nil, revision, revision
+	f.entries, f.bytes, f.floor, f.revision = nil, 0, revision, revision
 	f.notify()
 }
 
@@ -45,17 +53,33 @@
 func (f *feed) add(entries []topo.Entry, revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = append(f.entries, entries...)
-	if excess := len(f.entries) - maxFeedEntries; excess > 0 {
-		f.floor = f.entries[excess-1].Revision
-		f.entries = append([]topo.Entry(nil), f.entries[excess:]...)
+	for _, entry := range entries {
+		f.put(entry)
+	}
+	excess := 0
+	for ; len(f.entries)-excess > maxFeedEntries || f.bytes > maxFeedBytes; excess++ {
+		f.floor = f.entries[excess].Revision
+		f.bytes -= entrySize(&f.entries[excess])
 	}
+	f.entries = slices.Delete(f.entries, 0, excess)
 	if revision > f.revision {
 		f.revision = revision
 		f.notify()
 	}
 }
 
+// put appends a change and removes an earlier one of the same key.
+func (f *feed) put(entry topo.Entry) {
+	if i := slices.IndexFunc(f.entries, func(e topo.Entry) bool { return e.Key == entry.Key }); i >= 0 {
+		f.bytes -= entrySize(&f.entries[i])
+		f.entries = slices.Delete(f.entries, i, i+1)
+	}
+	f.entries = append(f.entries, entry)
+	f.bytes += entrySize(&entry)
+}
+
+func entrySize(entry *topo.Entry) int { return len(entry.Key) + len(entry.Value) }
+
 // confirm records that the store responded to this instance itself.
 func (f *feed) confirm(now time.Time) {
 	f.mu.Lock()
