discovery: ask the store after a silent source, not the next source

Cause: an instance that follows the store through others asked its three sources one after the other, 1.5 s each, before it asked the store. On a related path, a source that had lost the store unnoticed vouched for it for 2.5 s, the whole time within which a change must be in force.

Change: after a source that kept the instance waiting, the store is asked for the changes since, with one call that does not wait; then the next source. A source passes nothing on after 2 s. Event 1309 says what came.

--- a/discovery/events.go
+++ b/discovery/events.go
@@ -14,6 +14,9 @@
 	eventSourceFailed = event.New(1308, "source failed", slog.LevelWarn,
 		"The instance through which this one follows the store did not respond or has no changes to pass on. Another one, "+
 			"or the store itself, is asked instead.")
+	eventCaughtUp = event.New(1309, "caught up", slog.LevelInfo,
+		"A source kept this instance waiting without a response, so the store was asked for the changes after the revision. "+
+			"The attribute error says why that failed; the next source is asked then.")
 	eventHistoryLost = event.New(1302, "history lost", slog.LevelInfo,
 		"The store has compacted the changes since the last watch; all entries are read again.")
 	eventTableInForce = event.New(1303, "routes in force", slog.LevelInfo,
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -36,8 +36,15 @@
 	// relayGrace is how long after its wait a source may take to respond.
 	relayGrace = 500 * time.Millisecond
 	// maxRelayAge is the time since the store's last response after which a source passes nothing on. A watch without
-	// changes responds after watchWait.
-	maxRelayAge = watchWait + time.Second
+	// changes responds after watchWait. Its sum with the time of a call to another source or to the store is below the
+	// time within which a change must be in force.
+	maxRelayAge = watchWait + 500*time.Millisecond
+	// maxSourceDelay is how long the sources may keep an instance waiting without a response before it asks the store for
+	// the changes that it may have missed. The sources may all have failed, and each of them can take relayWait and
+	// relayGrace.
+	maxSourceDelay = 500 * time.Millisecond
+	// catchUpTimeout bounds the time of that call, after which the next source is asked.
+	catchUpTimeout = 500 * time.Millisecond
 	// startTime is how long after its start an instance may not know the other members of its zone yet. All instances may
 	// start at the same time and follow the store themselves until then, with a longer pause after changes.
 	startTime  = 5 * time.Second
@@ -146,11 +153,17 @@
 		return f.watch(ctx, revision)
 	}
 	for _, source := range f.health.usable(time.Now(), sources) {
+		asked := time.Now()
 		next, err := f.relayed(ctx, source, revision)
 		if err == nil || ctx.Err() != nil {
 			f.nextDirect = time.Time{}
 			return next, err
 		}
+		if time.Since(asked) > maxSourceDelay {
+			if next, err := f.catchUp(ctx, source, revision); err == nil {
+				return next, nil
+			}
+		}
 	}
 	// Soon after the start, the sources may not follow the store yet, or may be the wrong ones.
 	if now := time.Now(); now.Sub(f.startedAt) >= startTime {
@@ -203,9 +216,31 @@
 	}
 }
 
+// catchUp reads the changes that the store has, without waiting for others, because a source has kept this instance
+// waiting.
+func (f *follower) catchUp(ctx context.Context, source string, revision int64) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	asked := time.Now()
+	entries, next, err := f.store.Watch(call, allKeys, revision, 0)
+	attrs := []slog.Attr{
+		slog.String("source", source), slog.Int64("revision", revision), slog.Int("changes", len(entries)), slog.Duration("took", time.Since(asked)),
+	}
+	if err != nil {
+		attrs = append(attrs, slog.String("error", err.Error()))
+	}
+	eventCaughtUp.Log(ctx, f.logger, attrs...)
+	return f.applyWatched(ctx, revision, entries, next, err)
+}
+
 // watch waits for changes and returns the revision to continue from, or -1 if the history has been compacted.
 func (f *follower) watch(ctx context.Context, revision int64) (int64, error) {
 	entries, next, err := f.store.Watch(ctx, allKeys, revision, watchWait)
+	return f.applyWatched(ctx, revision, entries, next, err)
+}
+
+// applyWatched applies the result of a watch after a revision.
+func (f *follower) applyWatched(ctx context.Context, revision int64, entries []topo.Entry, next int64, err error) (int64, error) {
 	if errors.Is(err, topo.ErrCompacted) {
 		eventHistoryLost.Log(ctx, f.logger, slog.Int64("revision", revision))
 		return -1, nil
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -36,35 +36,60 @@
 	replicas *upstream.Registry
 
 	mu sync.Mutex
-	// calls counts the calls to the store. cutOff makes them fail; frozen leaves the peers without a response.
-	calls          int
-	cutOff, frozen bool
+	// calls counts the calls to the store. cutOff makes them fail, and silenced leaves them without a response; frozen
+	// leaves the peers without a response.
+	calls                    int
+	cutOff, silenced, frozen bool
 }
 
-const zoneFollowers = 3
+const (
+	zoneFollowers = 3
+	// storeDelay and peerDelay are the times of a call to the store and to a peer.
+	storeDelay = 4 * time.Millisecond
+	peerDelay  = 2 * time.Millisecond
+)
+
+// storeTimeout is how long after its wait a call to a silent store ends.
+const storeTimeout = time.Second
 
-func (i *zoneInstance) countCall() error {
+// call counts a call to the store and fails it if the instance has no access.
+func (i *zoneInstance) call(ctx context.Context, wait time.Duration) error {
 	i.mu.Lock()
-	defer i.mu.Unlock()
 	i.calls++
-	if i.cutOff {
+	cutOff, silenced := i.cutOff, i.silenced
+	i.mu.Unlock()
+	if silenced {
+		ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return topo.ErrUnavailable
+	}
+	if cutOff {
 		return topo.ErrUnavailable
 	}
 	return nil
 }
 
 func (i *zoneInstance) List(ctx context.Context, prefix string) ([]topo.Entry, int64, error) {
-	if err := i.countCall(); err != nil {
+	if err := i.call(ctx, 0); err != nil {
 		return nil, 0, err
 	}
 	return i.Store.List(ctx, prefix)
 }
 
 func (i *zoneInstance) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Entry, int64, error) {
-	if err := i.countCall(); err != nil {
+	if err := i.call(ctx, wait); err != nil {
 		return nil, after, err
 	}
-	return i.Store.Watch(ctx, prefix, after, wait)
+	entries, revision, err := i.Store.Watch(ctx, prefix, after, wait)
+	i.mu.Lock()
+	silenced := i.silenced
+	i.mu.Unlock()
+	time.Sleep(storeDelay)
+	if silenced { // the response is lost
+		return nil, after, i.call(ctx, 0)
+	}
+	return entries, revision, err
 }
 
 func (i *zoneInstance) Sources() []string {
@@ -82,14 +107,20 @@
 	var index int
 	fmt.Sscan(source, &index)
 	peer := i.zone.instances[index]
-	peer.mu.Lock()
-	frozen := peer.frozen
-	peer.mu.Unlock()
-	if frozen {
-		<-ctx.Done()
-		return nil, ctx.Err()
+	isFrozen := func() bool {
+		peer.mu.Lock()
+		defer peer.mu.Unlock()
+		return peer.frozen
 	}
-	return peer.watcher.Changes(ctx, after, wait)
+	if !isFrozen() {
+		changes, err := peer.watcher.Changes(ctx, after, wait)
+		time.Sleep(peerDelay)
+		if !isFrozen() {
+			return changes, err
+		}
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
 }
 
 func (i *zoneInstance) storeCalls() int {
@@ -268,3 +299,61 @@
 		}
 	})
 }
+
+// sourceRecovery is the time after which sources that work again are used again.
+const sourceRecovery = 8 * time.Second
+
+// expectDropped removes a replica at many moments after a change of the sources, which happens at many moments of their
+// watches, and expects that all other instances drop the replica in time. It takes the change back before the next one.
+func (z *zoneFixture) expectDropped(change func(i *zoneInstance, faulty bool), sources ...*zoneInstance) {
+	for n := range 360 {
+		for _, source := range sources {
+			source.set(func() { change(source, false) })
+		}
+		key := fmt.Sprintf("r/c%d", n)
+		z.put(key, "ready")
+		time.Sleep(sourceRecovery + time.Duration(n)*7*time.Millisecond)
+		for _, source := range sources {
+			source.set(func() { change(source, true) })
+		}
+		time.Sleep(time.Duration(n%20) * 250 * time.Millisecond)
+		z.remove(key)
+		time.Sleep(inForce)
+		for _, i := range z.instances[zoneFollowers:] {
+			z.Expect(i.usable()).To(gomega.BeEmpty(), "instance %d, round %d", i.index, n)
+		}
+	}
+}
+
+// Guards against instances that go on using a replica whose entry was removed, because they wait for one silent source
+// after the other.
+func TestRemovedReplicaIsDroppedBehindSilentSources(t *testing.T) {
+	for silent := range zoneFollowers {
+		t.Run(fmt.Sprint(silent+1), func(t *testing.T) {
+			withZone(t, 9, func(z *zoneFixture) {
+				z.expectDropped(func(i *zoneInstance, faulty bool) { i.frozen = faulty }, z.instances[:silent+1]...)
+			})
+		})
+	}
+}
+
+// Guards against instances that go on using a replica whose entry was removed, because the store does not respond to
+// their sources, which have not noticed yet.
+func TestRemovedReplicaIsDroppedBehindSourcesWithoutTheStore(t *testing.T) {
+	withZone(t, 9, func(z *zoneFixture) {
+		z.expectDropped(func(i *zoneInstance, faulty bool) { i.silenced = faulty }, z.instances[:zoneFollowers]...)
+	})
+}
+
+// Guards against instances that follow the store themselves for long after a source was silent once.
+func TestSilentSourceCostsFewCalls(t *testing.T) {
+	withZone(t, 9, func(z *zoneFixture) {
+		time.Sleep(sourceRecovery)
+		z.instances[0].set(func() { z.instances[0].frozen = true })
+		time.Sleep(sourceRecovery)
+		before := z.instances[5].storeCalls()
+		const observed = 30 * time.Second
+		time.Sleep(observed)
+		z.Expect(z.instances[5].storeCalls() - before).To(gomega.BeNumerically("<=", observed/(4*time.Second)))
+	})
+}
