relay: a reset that a write has met is no end of a response

A response without length that is reset while the request's body is still being written looked complete (rules ORDER and MIXED). Found while reproducing the users' own ORDER cases with real sockets; their record does not show whether it was among them.

Cause: a large body is written in the background, and a socket reports a reset only once. If the write gets it, the read after it sees an orderly end, which completes a response without length.

Change: at such an end the response is complete only if the request was written completely.

TestResponseWithoutLengthAfterALargeBodyIsComplete shows that whole responses still pass.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -182,7 +182,9 @@
 		block, size = block[:len(block)+n], size+n
 		switch {
 		case err == io.EOF:
-			x.complete = true
+			if err := x.finishRead(); err != nil {
+				return nil, err
+			}
 			if len(blocks) == 0 {
 				return block, nil
 			}
@@ -206,13 +208,30 @@
 	n, err := x.resp.Body.Read(p)
 	switch {
 	case err == io.EOF:
-		x.complete = true
+		if incomplete := x.finishRead(); incomplete != nil {
+			err = incomplete
+		}
 	case err != nil:
 		err = x.markIncomplete(errors.Wrap(err, "relay: body"))
 	}
 	return n, err
 }
 
+// finishRead marks the response as complete at the end of its body. If the end of the connection delimits it, it returns
+// an error unless the request was written completely: a socket reports a reset only once, to a write as well as to a
+// read, and looks closed in order after that.
+func (x *Exchange) finishRead() error {
+	if x.closeDelimited && x.writeResult != nil {
+		x.conn.SetWriteDeadline(time.Now()) // ends a write that is still blocked
+		if err := <-x.writeResult; err != nil {
+			return x.markIncomplete(errors.Wrap(err, "relay: connection ended during the request body"))
+		}
+		x.writeResult = nil
+	}
+	x.complete = true
+	return nil
+}
+
 // Delimited reports whether the end of the response can be distinguished from a closed connection.
 func (x *Exchange) Delimited() bool { return !x.closeDelimited }
 
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -245,3 +245,30 @@
 	g.Expect(x.Delimited()).To(gomega.BeTrue())
 	g.Expect(x.ReadBody()).To(gomega.BeEmpty())
 }
+
+// Guards against a reset response without length that looks complete, because the write of the request's body met the
+// reset first and the read after it only sees the end of the connection.
+func TestResetDuringTheRequestBodyIsNoEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for range 10 {
+		r := newReplica(t, "EARLY"+header+"\r\npart|RESET")
+		x, err := r.send(t.Context(), relay.NewPool(nil), "1", strings.Repeat("x", 8<<20))
+		if err == nil {
+			_, err = x.ReadBody()
+			x.Close()
+		}
+		g.Expect(errors.Is(err, relay.ErrIncompleteResponse)).To(gomega.BeTrue(), "%v", err)
+	}
+}
+
+// Guards against a whole response without length that is refused because the request had a large body.
+func TestResponseWithoutLengthAfterALargeBodyIsComplete(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for range 10 {
+		r := newReplica(t, header+"\r\nwhole|CLOSE")
+		x, err := r.send(t.Context(), relay.NewPool(nil), "1", strings.Repeat("x", 1<<20))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(x.ReadBody()).To(gomega.BeEquivalentTo("whole"))
+		x.Close()
+	}
+}
