entry: a crash is no end of a response without length

A response that only the end of its connection delimits looked complete when its replica's process was killed and the kernel closed the connection in order (rules ORDER and MIXED).

Cause: the end of the connection was taken for the end of the response, whatever ended it.

Change: after such a response the replica's address must not refuse connections, or the response is incomplete and counts as a crash. This was asked before only to blame prompt segments.

Tests: TestCrashIsNoEndOfAResponseWithoutLength failed before for all four kinds of requests; TestResponseWithoutLengthIsPassedOn. The soak sends responses without length and resets half of them, and its proxy passes resets on.

--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -54,10 +54,8 @@
 	// response is the last buffered response. An error response is passed on to the caller if no later attempt gets a
 	// better one or begins a stream.
 	response *bufferedResponse
-	// status is that of the last response that was not a refusal. closeDelimited reports whether only the end of the
-	// connection marked the end of it.
-	status         int
-	closeDelimited bool
+	// status is that of the last response that was not a refusal.
+	status int
 	// headerWritten is set once the header of a stream has been written, lastEvent is the ID of the last event that the
 	// caller has, or -1.
 	headerWritten bool
@@ -161,7 +159,7 @@
 		return err
 	}
 	defer ex.Close()
-	x.status, x.closeDelimited = ex.Status(), !ex.Delimited()
+	x.status = ex.Status()
 	if load := ex.Info().Load; load != nil {
 		balancer.UpdateLoad(time.Now(), attempt.Replica, load)
 	}
@@ -171,12 +169,15 @@
 	}
 	x.request.MarkAccepted()
 	if x.route.Kind == traffic.Stream && ex.Status() == http.StatusOK {
-		return x.forwardStream(ex)
+		return x.forwardStream(ctx, ex, attempt.Replica)
 	}
 	body, err := ex.ReadBody()
 	if err != nil {
 		return err
 	}
+	if err := x.checkEnd(ctx, ex, attempt.Replica); err != nil {
+		return err
+	}
 	balancer.RecordResponseTime(attempt.Replica, time.Since(sent))
 	if x.headerWritten {
 		// The caller has a part of the stream already, which this response cannot complete.
--- a/entry/routed_stream.go
+++ b/entry/routed_stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rhubarbpoint/relay"
+	"rhubarbpoint/upstream"
 )
 
 const (
@@ -22,7 +24,7 @@
 
 // forwardStream forwards the events of a response, each when it is complete. After a broken attempt, the next attempt
 // continues after the last event, in the same response to the caller.
-func (x *routedExchange) forwardStream(ex *relay.Exchange) error {
+func (x *routedExchange) forwardStream(ctx context.Context, ex *relay.Exchange, replica *upstream.Replica) error {
 	var pending []byte
 	buf := make([]byte, streamReadBytes)
 	for {
@@ -34,6 +36,9 @@
 		case writeErr != nil:
 			return writeErr
 		case err == io.EOF && len(pending) == 0:
+			if err := x.checkEnd(ctx, ex, replica); err != nil {
+				return err
+			}
 			x.writeHeader(ex)
 			return nil
 		case err == io.EOF:
@@ -49,6 +54,16 @@
 	}
 }
 
+// checkEnd returns an error if the end of a response may be a crash of the replica: the end of the connection delimits
+// the response, and the replica accepts no connections any more. The kernel closes the connections of a killed process in
+// order.
+func (x *routedExchange) checkEnd(ctx context.Context, ex *relay.Exchange, replica *upstream.Replica) error {
+	if ex.Delimited() || !x.replicaGone(ctx, replica) {
+		return nil
+	}
+	return errors.Mark(errors.New("entry: replica has ended, and with it a response without length"), relay.ErrIncompleteResponse)
+}
+
 // forwardEvents writes the complete events in data, except for those that the caller has already, and returns the
 // incomplete rest.
 func (x *routedExchange) forwardEvents(ex *relay.Exchange, data []byte) (rest []byte, err error) {
--- a/entry/routed_suspects.go
+++ b/entry/routed_suspects.go
@@ -62,7 +62,7 @@
 	switch {
 	case err == nil && x.status < http.StatusInternalServerError:
 		tracked.RecordSuccess(time.Now())
-		if x.answered(ctx, attempt.Replica) {
+		if x.answered() {
 			result = suspect.Answered
 		}
 	case err == nil, errors.Is(err, errServerError):
@@ -86,13 +86,8 @@
 }
 
 // answered reports whether the replica has certainly answered the prompt. An error response can come from a replica that
-// has not begun to, and one that ends with its connection looks complete also if the replica crashed between two events.
-func (x *routedExchange) answered(ctx context.Context, replica *upstream.Replica) bool {
-	if x.status >= http.StatusMultipleChoices {
-		return false
-	}
-	return !x.closeDelimited || len(x.segments) == 0 || !x.replicaGone(ctx, replica)
-}
+// has not begun to.
+func (x *routedExchange) answered() bool { return x.status < http.StatusMultipleChoices }
 
 // segmentIDs returns the IDs of the segments that the prompt may share with other requests.
 func segmentIDs(prompt *relay.Prompt) []suspect.Segment {
--- a/entry/routed_test.go
+++ b/entry/routed_test.go
@@ -371,6 +371,52 @@
 	})
 }
 
+// crashInOrder ends a replica as the kernel ends a killed process: dials are refused, and the connection of the response
+// is closed in order, not reset.
+func (s *routedFleet) crashInOrder(addr string, w http.ResponseWriter) {
+	s.net.Refuse(addr)
+	breakConnection(w)
+}
+
+// Guards against a response without length that looks complete, although its replica crashed and the kernel closed its
+// connections.
+func TestCrashIsNoEndOfAResponseWithoutLength(t *testing.T) {
+	for _, path := range []string{"/chat/1", "/grade/1", "/look/1", "/order/1"} {
+		t.Run(path, func(t *testing.T) {
+			inRoutedFleet(t, func(s *routedFleet) {
+				for _, service := range []string{"model", "plain"} {
+					var addr string
+					addr = s.replica(service, upstream.Whole, func(w http.ResponseWriter, _ *http.Request) {
+						w.Header().Set("Transfer-Encoding", "identity")
+						writeEvents(w, 1, 2)
+						s.crashInOrder(addr, w)
+					})
+				}
+				g := s.call(path)
+				s.Expect(g.err != nil || g.status == http.StatusBadGateway).To(gomega.BeTrue(), "status %d, %q", g.status, g.body)
+			})
+		})
+	}
+}
+
+// Guards against a whole response without length that is taken for a broken one.
+func TestResponseWithoutLengthIsPassedOn(t *testing.T) {
+	inRoutedFleet(t, func(s *routedFleet) {
+		for _, service := range []string{"model", "plain"} {
+			s.replica(service, upstream.Whole, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Transfer-Encoding", "identity")
+				writeEvents(w, 1, 2)
+			})
+		}
+		for _, path := range []string{"/chat/1", "/grade/1", "/look/1", "/order/1"} {
+			g := s.call(path)
+			s.Expect(g.err).NotTo(gomega.HaveOccurred())
+			s.Expect(g.status).To(gomega.Equal(http.StatusOK))
+			s.Expect(g.body).To(gomega.Equal("id: 1\ndata: x1\n\nid: 2\ndata: x2\n\n"))
+		}
+	})
+}
+
 // Guards against a request that runs longer than the timeout of its route.
 func TestRouteTimeoutEndsRequest(t *testing.T) {
 	inRoutedFleet(t, func(s *routedFleet) {
--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -148,7 +149,7 @@
 }
 
 // forwardDirection forwards data in one direction until reading or writing fails, and then closes the receiver's side
-// for writing. It returns without that once the pair is silent.
+// for writing, or resets both sides after a reset. It returns without that once the pair is silent.
 func (l *Link) forwardDirection(p *pair, to, from net.Conn, held func(Fault) bool) {
 	buffer := make([]byte, 32<<10)
 	for {
@@ -161,6 +162,10 @@
 				err = failed
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			p.close()
+			return
+		}
 		if err != nil {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				tcp.CloseWrite()
--- a/internal/pipenet/network.go
+++ b/internal/pipenet/network.go
@@ -64,14 +64,24 @@
 
 // Kill closes the listener of an address and its connections, as the end of the process would.
 func (n *Network) Kill(addr string) {
+	if l := n.closeListener(addr); l != nil {
+		l.closeConns()
+	}
+}
+
+// Refuse closes the listener of an address, so that dials are refused. Its connections stay open.
+func (n *Network) Refuse(addr string) { n.closeListener(addr) }
+
+// closeListener closes and returns the listener of an address, or returns nil if there is none.
+func (n *Network) closeListener(addr string) *listener {
 	n.mu.Lock()
 	l := n.listeners[addr]
 	delete(n.listeners, addr)
 	n.mu.Unlock()
 	if l != nil {
 		l.Close()
-		l.closeConns()
 	}
+	return l
 }
 
 // Close kills all listeners.
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -63,6 +63,7 @@
 	{"replica loses answers", withReplicaFault(loseResponses)},
 	{"replica truncates answers", withReplicaFault(truncateResponses)},
 	{"replica fails requests", withReplicaFault(failRequests)},
+	{"replica omits lengths", withReplicaFault(omitLengths)},
 	{"replica adds bytes", withReplicaFault(sendExtraResponses)},
 	{"replica slow", withReplicaFault(slowResponses)},
 	{"replica sends heads without end", withReplicaFault(sendEndlessHeads)},
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -35,6 +35,7 @@
 	loseResponses
 	truncateResponses
 	failRequests
+	omitLengths
 	sendExtraResponses
 	slowResponses
 	sendEndlessHeads
@@ -166,6 +167,11 @@
 		respondEndlessly(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\n\r\n", platform.HeaderRequestID, request, platform.HeaderSignature), "x")
 		return
 	}
+	breaksOff := false
+	if fault == omitLengths {
+		w.Header().Set("Transfer-Encoding", "identity")
+		breaksOff = rand.IntN(2) == 0
+	}
 	if kind == pathOrder || kind == pathLook {
 		time.Sleep(workTime)
 		text := responseText(request)
@@ -178,6 +184,11 @@
 			io.WriteString(w, text[:len(text)/2])
 			panic(http.ErrAbortHandler)
 		}
+		if breaksOff {
+			io.WriteString(w, text[:len(text)/2])
+			reset(w)
+			return
+		}
 		io.WriteString(w, text)
 	} else {
 		control := http.NewResponseController(w)
@@ -185,6 +196,10 @@
 			if fault == truncateResponses && event == streamEvents/2 {
 				panic(http.ErrAbortHandler)
 			}
+			if breaksOff && event == streamEvents/2 {
+				reset(w)
+				return
+			}
 			io.WriteString(w, streamEvent(event, request))
 			if control.Flush() != nil {
 				return
@@ -195,6 +210,20 @@
 	r.cluster.recorder.recordResponse(request)
 }
 
+// reset resets the connection of a response after what was written of it.
+func reset(w http.ResponseWriter) {
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	conn, _, err := control.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // respondEndlessly sends prefix and then repeats block until the instance closes the connection.
 func respondEndlessly(w http.ResponseWriter, prefix, block string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
