discovery: pass on changes in parts that fit into a message

Several entries of 1 MB of another writer, which do not compress, made a source's response to its peers larger than a message may be. It failed for all of them, and they read the store themselves, about once a second.

Change: a source passes on at most 1 MB at a time, never a part of a transaction, and the peer asks for the rest next.

--- a/daemon/store_relay_test.go
+++ b/daemon/store_relay_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -16,6 +18,7 @@
 	"rhubarbpoint/internal/gzipbytes"
 	"rhubarbpoint/peer"
 	"rhubarbpoint/peer/peerpb"
+	"rhubarbpoint/platform"
 	"rhubarbpoint/topo"
 	"rhubarbpoint/topo/memtopo"
 	"rhubarbpoint/traffic"
@@ -63,6 +66,56 @@
 	})
 }
 
+// Guards against instances that stop following the store through a peer, because large entries of another writer make its
+// response larger than a message may be.
+func TestLargeOddEntriesDoNotStopThePeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		store := memtopo.New(nil)
+		relay := &storeRelay{watcher: discovery.New(discovery.Options{Store: store, Replicas: upstream.NewRegistry(), Format: discovery.Format{
+			TableKey: platform.KeyRoutes, ReplicaPrefix: platform.PrefixReplicas, ReplicaID: platform.ReplicaID,
+			DecodeReplica: func(key string, value []byte) (upstream.Replica, error) {
+				return platform.DecodeReplica(key, value, func(string) string { return "region" })
+			},
+		}})}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { relay.watcher.Run(ctx); close(done) }()
+		defer func() { cancel(); <-done }()
+		time.Sleep(time.Second)
+		put := func(key string, value []byte) {
+			_, err := store.Put(ctx, key, value, 0, 0)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		random := rand.NewChaCha8([32]byte{})
+		for n := range 4 {
+			value := make([]byte, topo.MaxValueBytes)
+			random.Read(value)
+			put(fmt.Sprint(platform.PrefixReplicas, "odd-", n), value)
+		}
+		put(platform.EncodeReplica(&upstream.Replica{ID: "i-1", Born: 1, Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 1}))
+		time.Sleep(time.Second)
+
+		got, after := map[string]int{}, int64(0)
+		for range 10 {
+			resp, err := relay.handle(ctx, "", &peerpb.Request{Call: &peerpb.Request_WatchStore{WatchStore: &peerpb.WatchStore{After: after}}})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(proto.Size(resp)).To(gomega.BeNumerically("<=", peer.MaxFrameBytes))
+			changes, err := decodeChanges(resp.GetStoreChanges())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			for _, entry := range changes.Entries {
+				got[entry.Key]++
+			}
+			if changes.Revision == after {
+				break
+			}
+			after = changes.Revision
+		}
+		g.Expect(got).To(gomega.HaveLen(5))
+		g.Expect(got).To(gomega.HaveKeyWithValue(platform.PrefixReplicas+"i-1", 1))
+	})
+}
+
 // Guards against a malformed or oversized message of a peer that is applied in part.
 func TestMalformedChangesAreRefused(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -17,6 +17,9 @@
 	// maxFeedBytes bounds the keys and values of these changes together. It is a small part of the memory of an instance
 	// and more than the routes and replicas of a large fleet take.
 	maxFeedBytes = 8 << 20
+	// maxPassedBytes bounds the keys and values that are passed on at once, unless a single value is larger, so that they
+	// fit into one message to a peer. The peer asks for the others next.
+	maxPassedBytes = topo.MaxValueBytes
 )
 
 // ErrNotFollowing means that an instance has no changes to pass on: it does not follow the store, the store does not
@@ -125,7 +128,7 @@
 	}
 }
 
-// since returns the changes after a revision, and the channel that is closed when there are others.
+// since returns the changes after a revision, or the first ones of many, and the channel that is closed when there are others.
 func (f *feed) since(now time.Time, after int64) (*Changes, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -135,10 +138,17 @@
 	}
 	// The caller may know more, from a source that is ahead of this one.
 	changes := &Changes{Revision: max(after, f.revision), Age: age}
+	size := 0
 	for _, entry := range f.entries {
-		if entry.Revision > after {
-			changes.Entries = append(changes.Entries, entry)
+		if entry.Revision <= after {
+			continue
 		}
+		size += entrySize(&entry)
+		if passed := len(changes.Entries); size > maxPassedBytes && passed > 0 && changes.Entries[passed-1].Revision < entry.Revision {
+			changes.Revision = changes.Entries[passed-1].Revision
+			break
+		}
+		changes.Entries = append(changes.Entries, entry)
 	}
 	return changes, f.changed, nil
 }
--- a/discovery/feed_test.go
+++ b/discovery/feed_test.go
@@ -62,6 +62,27 @@
 	g.Expect(passed.Entries).To(gomega.HaveLen(1))
 }
 
+// Guards against changes of one transaction of which a peer gets only the first ones, because together they are large.
+func TestFeedDoesNotSplitATransaction(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFeed()
+	f.restart(1)
+	value := make([]byte, maxPassedBytes/2)
+	for revision := int64(2); revision < 4; revision++ {
+		var entries []topo.Entry
+		for n := range 3 {
+			entries = append(entries, topo.Entry{Key: fmt.Sprint(revision, n), Revision: revision, Value: value})
+		}
+		f.add(entries, revision)
+	}
+	for after := int64(1); after < 3; after++ {
+		passed, err := changesAfter(f, after)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(passed.Entries).To(gomega.HaveLen(3))
+		g.Expect(passed.Revision).To(gomega.Equal(after + 1))
+	}
+}
+
 // Guards against a peer that ends up with other values than the store after it has skipped intermediate changes.
 func TestFeedLeadsToTheStoresValues(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
