relay: a response without request ID is no response on a kept connection

Other operators saw a replica write an earlier refusal once more on a kept connection: callers were told "not run, try again" for requests that ran (REFUSED), or these ran twice (TWICE). It could happen here if the repeated refusal had no Request-Id.

Cause: a response without an ID was taken for the request's own on every connection, although replicas repeat the ID in all their responses.

Change: such a response counts only on a new connection, which is closed after it. On a kept connection it is skipped, like one with another ID.

Tests: TestRepeatedRefusalIsNoResponse (case without ID) and TestResponseWithoutIDOnANewConnectionIsAccepted failed before. The soak's replicas repeat the ID also in 421, and some write a refusal before a response.

--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -115,12 +116,12 @@
 	id, stage, fault := r.entry.ID, r.entry.Stage, r.fault
 	changingStage := r.changingStage
 	r.mu.Unlock()
+	request := req.Header.Get(platform.HeaderRequestID)
+	w.Header().Set(platform.HeaderRequestID, request)
 	if expected := req.Header.Get(platform.HeaderExpectInstance); expected != "" && expected != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	request := req.Header.Get(platform.HeaderRequestID)
-	w.Header().Set(platform.HeaderRequestID, request)
 	w.Header().Set(platform.HeaderSignature, id)
 	prefillOnly := req.Header.Get(platform.HeaderStage) == "prefill"
 	if fault == refuseRequests || changingStage || prefillOnly != (stage == upstream.Prefill) {
@@ -234,22 +235,49 @@
 }
 
 // sendExtraResponse sends a complete response and after it, where the connection's next response is expected, another
-// one that belongs to no request.
+// one that belongs to no request: a success, or a refusal that does not say which request it is for.
 func (r *replica) sendExtraResponse(w http.ResponseWriter, request, text string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	write := func(request, text string) {
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: %d\r\n\r\n%s", platform.HeaderRequestID, request,
-			platform.HeaderSignature, len(text), text)
-	}
-	write(request, text)
+	writeResponse(conn, request, text)
 	r.cluster.recorder.recordResponse(request)
-	time.Sleep(2 * workTime)
-	write("other", "wrong")
-	time.Sleep(longestFault)
+	if rand.IntN(2) == 0 {
+		time.Sleep(2 * workTime)
+		writeResponse(conn, "other", "wrong")
+		time.Sleep(longestFault)
+		return
+	}
+	r.answerNext(conn)
+}
+
+// answerNext reads the next request of a connection and runs it, but writes a refusal before its response.
+func (r *replica) answerNext(conn net.Conn) {
+	conn.SetReadDeadline(time.Now().Add(longestFault))
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	id, kind := req.Header.Get(platform.HeaderRequestID), kindOf(req.URL.Path)
+	if kind != pathOrder && kind != pathLook || req.Header.Get(platform.HeaderExpectInstance) != r.entry.ID {
+		return
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", platform.HeaderNotRun)
+	r.cluster.recorder.recordExecution(id, kind == pathOrder)
+	time.Sleep(workTime)
+	writeResponse(conn, id, responseText(id))
+	r.cluster.recorder.recordResponse(id)
+}
+
+// writeResponse writes a complete response to a request.
+func writeResponse(conn net.Conn, request, text string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: %d\r\n\r\n%s", platform.HeaderRequestID, request,
+		platform.HeaderSignature, len(text), text)
 }
 
 // responseText is the body of a response that is not a stream.
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -28,6 +28,8 @@
 	Authentic bool
 	// RequestID is the request that the response belongs to, or empty if the header does not say.
 	RequestID string
+	// Unidentified reports that the response lacks the request ID that the responses of such replicas have.
+	Unidentified bool
 	// Closing reports that the replica closes the connection after the response.
 	Closing bool
 	// KeepAlive is how long the replica keeps an idle connection open, or 0 if the header does not say.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -93,13 +93,13 @@
 			return x.markIncomplete(errors.Wrap(err, "relay: head of the answer"))
 		}
 		x.resp, x.info = resp, dialect.ParseResponse(resp.StatusCode, resp.Header)
-		if x.info.RequestID == "" || x.info.RequestID == call.ID {
+		if x.belongsTo(call) {
 			if attempt.OnResponse != nil && !x.info.Misdirected {
 				attempt.OnResponse(x.info)
 			}
 			return x.checkHeader()
 		}
-		// This is a late second response to an earlier request. The connection is not reused.
+		// This is a late or repeated response to an earlier request. The connection is not reused.
 		x.mismatched = true
 		skipped, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBodyBytes+1))
 		if err != nil {
@@ -112,6 +112,15 @@
 	return errors.Mark(errors.Mark(errors.New("relay: answers to other requests"), ErrResponseMismatch), ErrIncompleteResponse)
 }
 
+// belongsTo reports whether the response is one to the call. On a connection that has carried another call, a response
+// without ID may be a repeated one to that call; connections are only reused after responses with an ID.
+func (x *Exchange) belongsTo(call *Call) bool {
+	if x.info.Unidentified {
+		return !x.conn.reused
+	}
+	return x.info.RequestID == "" || x.info.RequestID == call.ID
+}
+
 // readHead reads the head of the next final response and skips the informational ones before it.
 func (x *Exchange) readHead(req *http.Request) (*http.Response, error) {
 	x.conn.head.limit()
@@ -250,7 +259,7 @@
 	x.memory.release()
 	watching := x.stopWatching()
 	// Bytes after the end of the response belong to no request.
-	if !watching || !x.complete || x.closeDelimited || x.mismatched || x.info.Closing || !x.bodyWritten() || x.resp.Close ||
+	if !watching || !x.complete || x.closeDelimited || x.mismatched || x.info.Unidentified || x.info.Closing || !x.bodyWritten() || x.resp.Close ||
 		x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -32,7 +32,7 @@
 func (dialect) ParseResponse(_ int, h http.Header) relay.ResponseInfo {
 	return relay.ResponseInfo{
 		NotRun: h.Get("Not-Run") != "", Authentic: h.Get("Mark") != "", RequestID: h.Get("Id"),
-		Closing: h.Get("Connection") == "close",
+		Unidentified: h.Get("Id") == "", Closing: h.Get("Connection") == "close",
 	}
 }
 
@@ -165,6 +165,36 @@
 	g.Expect(r.conns.Load()).To(gomega.BeEquivalentTo(2), "the connection of the late response is not reused")
 }
 
+// Guards against a request that runs and is reported as not run, because its replica repeats an earlier refusal on a kept
+// connection, with the ID of the earlier request or without one.
+func TestRepeatedRefusalIsNoResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n"
+	for name, repeated := range map[string]string{"with ID": refusal + "Id: 1\r\n\r\n", "without ID": refusal + "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			pool := relay.NewPool(nil)
+			r := newReplica(t, refusal+"Id: ID\r\n\r\n", repeated+response("ID", "second"), response("ID", "third"))
+			_, err := r.roundTrip(t, pool, "1")
+			g.Expect(errors.Is(err, relay.ErrRefused)).To(gomega.BeTrue(), "%v", err)
+			g.Expect(r.roundTrip(t, pool, "2")).To(gomega.Equal("second"))
+			g.Expect(r.roundTrip(t, pool, "3")).To(gomega.Equal("third"))
+			g.Expect(r.conns.Load()).To(gomega.BeEquivalentTo(2), "the connection of the repeated refusal is not reused")
+		})
+	}
+}
+
+// Guards against a request that is left without a response by a replica that does not repeat the request's ID.
+func TestResponseWithoutIDOnANewConnectionIsAccepted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pool := relay.NewPool(nil)
+	const anonymous = "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Length: 2\r\n\r\nok"
+	r := newReplica(t, anonymous, anonymous)
+	for _, id := range []string{"1", "2"} {
+		g.Expect(r.roundTrip(t, pool, id)).To(gomega.Equal("ok"))
+	}
+	g.Expect(r.conns.Load()).To(gomega.BeEquivalentTo(2), "the second response could not be told from an extra one")
+}
+
 // Guards against bytes after a complete response that are taken for the next response.
 func TestConnectionWithUnreadBytesIsNotReused(t *testing.T) {
 	g := gomega.NewWithT(t)
