platform, discovery: read all entries when a watch returns too much

Cause: a watch returns all changes since a revision with their values. The client cut a response off at 4 MB without an error, decoding failed, and the next watch asked for the same and more. The document of the own interface could not be read again at all after that or after lost history.

A follower then reads all entries, whose pages are limited, and watches from there; so does the manager of the document, also after lost history. The stand-in of the platform limits pages by size, too.

--- a/config/manager/follow.go
+++ b/config/manager/follow.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"rhubarbpoint/internal/sleep"
 	"rhubarbpoint/topo"
 )
@@ -78,16 +80,42 @@
 	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	entries, _, err := m.opts.Store.Watch(call, StoreKey, m.cursor(), wait)
+	if errors.Is(err, topo.ErrCompacted) || errors.Is(err, topo.ErrTooManyChanges) {
+		return errors.CombineErrors(m.list(call), err) // an error, so that watches that fail at once are paced
+	}
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
 	m.recordReadResult(err)
+	m.handleEntries(entries)
+	return err
+}
+
+// list reads the document as it is. The next watch starts from there.
+func (m *Manager) list(ctx context.Context) error {
+	entries, revision, err := m.opts.Store.List(ctx, StoreKey)
+	m.recordReadResult(err)
+	if err != nil {
+		return err
+	}
+	m.handleEntries(entries)
+	m.skipTo(revision)
+	return nil
+}
+
+func (m *Manager) handleEntries(entries []topo.Entry) {
 	for _, e := range entries {
 		if e.Key == StoreKey {
 			m.handleEntry(e)
 		}
 	}
-	return err
+}
+
+// skipTo lets the next watch start after a revision at which the document was read.
+func (m *Manager) skipTo(revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seenRevision = max(m.seenRevision, revision)
 }
 
 // cursor returns the revision after which changes are read; 0, which reads the current value, while there is no
--- a/config/manager/manager_test.go
+++ b/config/manager/manager_test.go
@@ -68,6 +68,56 @@
 	})
 }
 
+// cutStore is a store that can be cut off, and whose watches can fail because they would return too many changes.
+type cutStore struct {
+	topo.Store
+	cut, tooMany atomic.Bool
+}
+
+func (s *cutStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Entry, int64, error) {
+	switch {
+	case s.cut.Load():
+		return nil, after, topo.ErrUnavailable
+	case s.tooMany.Load() && after > 0:
+		return nil, after, topo.ErrTooManyChanges
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against an instance that never learns of an edit again, because the changes since its last read cannot be
+// watched: the store has discarded them, or they are too large for a response.
+func TestChangesThatCannotBeWatchedAreRead(t *testing.T) {
+	for name, prepare := range map[string]func(*cutStore, *memtopo.Store){
+		"discarded": func(_ *cutStore, store *memtopo.Store) { store.Compact() },
+		"too large": func(cut *cutStore, _ *memtopo.Store) { cut.tooMany.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				store := memtopo.New(nil)
+				cut := &cutStore{Store: store}
+				editor, _ := start(t, manager.Options{Store: store})
+				watcher, _ := start(t, manager.Options{Store: cut, ShouldWatch: func() bool { return true }})
+				_, err := edit(editor, "callers", 0, `{"allow_unknown":true}`)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				time.Sleep(time.Minute)
+				g.Expect(watcher.Version()).To(gomega.BeEquivalentTo(1))
+				cut.cut.Store(true)
+				time.Sleep(time.Minute)
+				_, err = edit(editor, "callers", 1, `{"allow_unknown":false}`)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				prepare(cut, store)
+				cut.cut.Store(false)
+				time.Sleep(13 * time.Second)
+				g.Expect(watcher.Version()).To(gomega.BeEquivalentTo(2))
+				before := store.Calls()[topo.OpList]
+				time.Sleep(time.Minute)
+				g.Expect(store.Calls()[topo.OpList]-before).To(gomega.BeNumerically("<=", 20), "reads without a pause")
+			})
+		})
+	}
+}
+
 // Guards against a lost update between two editors of one section, and against a conflict between edits of different
 // sections.
 func TestConcurrentEdits(t *testing.T) {
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -71,7 +71,7 @@
 	// onList is called with all entries, onChange with each changed entry. A deleted entry has a nil Value.
 	onList   func(now time.Time, entries []topo.Entry)
 	onChange func(now time.Time, entry topo.Entry)
-	// onContact is called after each call, except one that finds the history compacted. ok reports whether the store
+	// onContact is called after each call, except one after which all entries must be read. ok reports whether the store
 	// responded.
 	onContact func(now time.Time, ok bool)
 	// onKeepMissing is called when a source still keeps replicas that the store no longer lists.
@@ -105,7 +105,7 @@
 				pause = minRetry
 				continue
 			}
-			// The history is compacted, so all entries are read again. The pause grows if this happens repeatedly.
+			// The changes cannot be watched, so all entries are read again. The pause grows if this happens repeatedly.
 			if pause > minRetry {
 				sleep.For(ctx, pause)
 			}
@@ -233,7 +233,8 @@
 	return f.applyWatched(ctx, revision, entries, next, err)
 }
 
-// watch waits for changes and returns the revision to continue from, or -1 if the history has been compacted.
+// watch waits for changes and returns the revision to continue from, or -1 if all entries must be read instead, because
+// the history has been compacted or the changes are too large for a response.
 func (f *follower) watch(ctx context.Context, revision int64) (int64, error) {
 	entries, next, err := f.store.Watch(ctx, allKeys, revision, watchWait)
 	return f.applyWatched(ctx, revision, entries, next, err)
@@ -241,11 +242,14 @@
 
 // applyWatched applies the result of a watch after a revision.
 func (f *follower) applyWatched(ctx context.Context, revision int64, entries []topo.Entry, next int64, err error) (int64, error) {
-	if errors.Is(err, topo.ErrCompacted) {
+	switch {
+	case errors.Is(err, topo.ErrCompacted):
 		eventHistoryLost.Log(ctx, f.logger, slog.Int64("revision", revision))
 		return -1, nil
-	}
-	if err != nil {
+	case errors.Is(err, topo.ErrTooManyChanges):
+		eventTooManyChanges.Log(ctx, f.logger, slog.Int64("revision", revision))
+		return -1, nil
+	case err != nil:
 		return revision, err
 	}
 	now := time.Now()
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -28,6 +28,7 @@
 	unavailable bool
 	compacted   int64 // watches from a lower revision fail
 	silent      bool  // watches get no response
+	maxChanges  int   // a watch with more changes fails; 0 means no limit
 }
 
 func (s *store) set(change func()) {
@@ -48,7 +49,7 @@
 
 func (s *store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Entry, int64, error) {
 	s.mu.Lock()
-	unavailable, lost, silent := s.unavailable, after < s.compacted, s.silent
+	unavailable, lost, silent, maxChanges := s.unavailable, after < s.compacted, s.silent, s.maxChanges
 	s.mu.Unlock()
 	switch {
 	case unavailable:
@@ -59,7 +60,11 @@
 		time.Sleep(wait + time.Second)
 		return nil, after, topo.ErrUnavailable
 	}
-	return s.Store.Watch(ctx, prefix, after, wait)
+	entries, revision, err := s.Store.Watch(ctx, prefix, after, wait)
+	if maxChanges > 0 && len(entries) > maxChanges {
+		return nil, after, topo.ErrTooManyChanges
+	}
+	return entries, revision, err
 }
 
 // fixture is a watcher that follows a store.
@@ -205,6 +210,30 @@
 	})
 }
 
+// Guards against instances that learn nothing any more once the changes since their last watch are too large for a
+// response, and against a call for each change meanwhile.
+func TestTooManyChangesAreReadAsAWhole(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		f.store.maxChanges = 3
+		f.put("r/a", "ready")
+		time.Sleep(300 * time.Millisecond)
+		before := f.store.Store.(*memtopo.Store).Calls()[topo.OpList]
+		const changes = 25
+		for n := range changes {
+			f.put(fmt.Sprint("other/", n), "x")
+			time.Sleep(60 * time.Millisecond)
+		}
+		f.put("r/b", "ready")
+		f.put("r/a", "draining")
+		time.Sleep(inForce)
+		f.Expect(f.usable()).To(gomega.Equal("b"))
+		f.Expect(f.store.Store.(*memtopo.Store).Calls()[topo.OpList] - before).To(gomega.BeNumerically("<=", 8))
+		f.put("r/b", "draining")
+		time.Sleep(300 * time.Millisecond)
+		f.Expect(f.usable()).To(gomega.BeEmpty(), "changes are watched again")
+	})
+}
+
 // Guards against reading in a loop without a pause if the store keeps no history.
 func TestStoreWithoutHistoryIsNotFlooded(t *testing.T) {
 	withFixture(t, func(f *fixture) {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -18,8 +18,11 @@
 	"rhubarbpoint/topo/memtopo"
 )
 
-// pageItems is the number of items on one page of a list.
-const pageItems = 500
+// pageItems is the number of items on one page of a list, and pageBytes the size of their values after which it ends.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 // Options configure the stand-in. Zero values select the defaults.
 type Options struct {
@@ -123,15 +126,17 @@
 func (p *Platform) list(r *http.Request) (any, error) {
 	entries, revision, err := p.store.List(r.Context(), r.FormValue("prefix"))
 	page := wire.Page{Items: []wire.Item{}, Revision: revision}
+	size := 0
 	for _, entry := range entries {
 		if entry.Key <= r.FormValue("after") {
 			continue
 		}
-		if len(page.Items) == pageItems {
+		if len(page.Items) == pageItems || size >= pageBytes {
 			page.More = true
 			break
 		}
 		page.Items = append(page.Items, item(entry))
+		size += len(entry.Value)
 	}
 	return page, err
 }
--- a/topo/errors.go
+++ b/topo/errors.go
@@ -11,6 +11,9 @@
 	ErrRateLimited   = errors.New("topo: rate limit exceeded")
 	// ErrCompacted means that the store has discarded history that a watch would have to return.
 	ErrCompacted = errors.New("topo: history discarded")
+	// ErrTooManyChanges means that the changes that a watch would have to return are too large for a response. The entries
+	// must be read instead.
+	ErrTooManyChanges = errors.New("topo: too many changes for a watch")
 	// ErrUnavailable means that the call was certainly not executed.
 	ErrUnavailable = errors.New("topo: platform unavailable")
 	// ErrAmbiguous means that a write may have taken effect, or may still do so.
--- a/topo/topo.go
+++ b/topo/topo.go
@@ -47,7 +47,8 @@
 	Revoke(ctx context.Context, id LeaseID) error
 	// Watch waits up to wait for entries under the prefix that changed after the given revision. It returns their
 	// latest states and the revision to continue from. It returns no entries when the wait is over. If after is 0, it
-	// returns the entries as they are. ErrCompacted means that the history since the revision is no longer available.
+	// returns the entries as they are. ErrCompacted means that the history since the revision is no longer available,
+	// ErrTooManyChanges that the changes are too large for a response.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Entry, int64, error)
 }
 
