discovery: notice the end of a cut soon

Cause: replicas that the store does not list after an outage stay in use for 2.2 s from the instance's own next contact. That could come more than 2 s after the end of a cut, as a call that began before it ran into its limit of up to 2.5 s and a pause of up to a second followed.

Change: while neither sources nor the store respond, calls do not wait for changes and so end sooner, and the time of a failed call counts as part of the pause.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -43,13 +43,14 @@
 	// the changes that it may have missed. The sources may all have failed, and each of them can take relayWait and
 	// relayGrace.
 	maxSourceDelay = 500 * time.Millisecond
-	// catchUpTimeout bounds the time of that call, after which the next source is asked.
+	// catchUpTimeout bounds the time of that call, after which the next source is asked. It also bounds the calls to
+	// sources while neither they nor the store respond.
 	catchUpTimeout = 500 * time.Millisecond
 	// startTime is how long after its start an instance may not know the other members of its zone yet. All instances may
 	// start at the same time and follow the store themselves until then, with a longer pause after changes.
 	startTime  = 5 * time.Second
 	startPause = time.Second
-	// directRetry is the mean pause between the calls to the store of an instance whose sources all fail. The sources may
+	// directRetry is the longest pause between the calls to the store of an instance whose sources all fail. The sources may
 	// fail for all instances at the same time, and the store may be one that only turns some instances away.
 	directRetry = time.Second
 )
@@ -66,6 +67,9 @@
 	health    sourceHealth
 	// nextDirect is the earliest time of the next call to the store while sources are known and all of them fail.
 	nextDirect time.Time
+	// unreached is set while neither the sources nor the store respond. Calls do not wait for changes then, so that the end
+	// of a cut is noticed soon: what the store no longer lists stays in use for a while after it.
+	unreached bool
 	feed       *feed
 	logger     *slog.Logger
 	// onList is called with all entries, onChange with each changed entry. A deleted entry has a nil Value.
@@ -86,6 +90,7 @@
 	revision := int64(-1)
 	for ctx.Err() == nil {
 		var err error
+		started := time.Now()
 		watched := revision >= 0
 		if watched {
 			revision, err = f.next(ctx, revision)
@@ -124,7 +129,8 @@
 			eventStoreLost.Log(ctx, f.logger, slog.String("error", err.Error()))
 		}
 		f.onContact(now, false)
-		sleep.For(ctx, pause/2+rand.N(pause/2))
+		// The time that the call took counts as a pause.
+		sleep.For(ctx, max(minRetry/2, pause/2+rand.N(pause/2)-now.Sub(started)))
 		pause = min(maxRetry, 2*pause)
 	}
 }
@@ -159,7 +165,7 @@
 			f.nextDirect = time.Time{}
 			return next, err
 		}
-		if time.Since(asked) > maxSourceDelay {
+		if time.Since(asked) >= maxSourceDelay {
 			if next, err := f.catchUp(ctx, source, revision); err == nil {
 				return next, nil
 			}
@@ -170,7 +176,7 @@
 		if now.Before(f.nextDirect) {
 			return revision, errNoSource
 		}
-		f.nextDirect = now.Add(directRetry/2 + rand.N(directRetry))
+		f.nextDirect = now.Add(directRetry/2 + rand.N(directRetry/2))
 	}
 	next, err := f.watch(ctx, revision)
 	if err != nil {
@@ -182,9 +188,13 @@
 
 // relayed waits for changes from a source. An instance that had no contact with the store does not pass them on.
 func (f *follower) relayed(ctx context.Context, source string, revision int64) (int64, error) {
-	call, cancel := context.WithTimeout(ctx, relayWait+relayGrace)
+	wait, timeout := relayWait, relayWait+relayGrace
+	if f.unreached {
+		wait, timeout = 0, catchUpTimeout
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	changes, err := f.relay.Changes(call, source, revision, relayWait)
+	changes, err := f.relay.Changes(call, source, revision, wait)
 	now := time.Now()
 	if ctx.Err() == nil {
 		f.health.record(now, source, err == nil)
@@ -193,6 +203,7 @@
 		eventSourceFailed.Log(ctx, f.logger, slog.String("source", source), slog.Int64("revision", revision), slog.String("error", err.Error()))
 		return revision, err
 	}
+	f.unreached = false
 	f.onContact(now, true)
 	if changes.KeepMissing > 0 {
 		f.onKeepMissing(now.Add(changes.KeepMissing))
@@ -236,7 +247,11 @@
 // watch waits for changes and returns the revision to continue from, or -1 if all entries must be read instead, because
 // the history has been compacted or the changes are too large for a response.
 func (f *follower) watch(ctx context.Context, revision int64) (int64, error) {
-	entries, next, err := f.store.Watch(ctx, allKeys, revision, watchWait)
+	wait := watchWait
+	if f.unreached {
+		wait = 0
+	}
+	entries, next, err := f.store.Watch(ctx, allKeys, revision, wait)
 	return f.applyWatched(ctx, revision, entries, next, err)
 }
 
@@ -250,8 +265,10 @@
 		eventTooManyChanges.Log(ctx, f.logger, slog.Int64("revision", revision))
 		return -1, nil
 	case err != nil:
+		f.unreached = true
 		return revision, err
 	}
+	f.unreached = false
 	now := time.Now()
 	f.onContact(now, true)
 	f.feed.confirm(now)
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -36,8 +36,8 @@
 	replicas *upstream.Registry
 
 	mu sync.Mutex
-	// calls counts the calls to the store. cutOff makes them fail, and silenced leaves them without a response; frozen
-	// leaves the peers without a response.
+	// calls counts the calls to the store. cutOff makes them fail, and silenced leaves them and those to peers without a
+	// response; frozen leaves the peers without a response.
 	calls                    int
 	cutOff, silenced, frozen bool
 }
@@ -82,11 +82,8 @@
 		return nil, after, err
 	}
 	entries, revision, err := i.Store.Watch(ctx, prefix, after, wait)
-	i.mu.Lock()
-	silenced := i.silenced
-	i.mu.Unlock()
 	time.Sleep(storeDelay)
-	if silenced { // the response is lost
+	if i.isSilenced() { // the response is lost
 		return nil, after, i.call(ctx, 0)
 	}
 	return entries, revision, err
@@ -112,10 +109,10 @@
 		defer peer.mu.Unlock()
 		return peer.frozen
 	}
-	if !isFrozen() {
+	if !isFrozen() && !i.isSilenced() {
 		changes, err := peer.watcher.Changes(ctx, after, wait)
 		time.Sleep(peerDelay)
-		if !isFrozen() {
+		if !isFrozen() && !i.isSilenced() {
 			return changes, err
 		}
 	}
@@ -123,6 +120,12 @@
 	return nil, ctx.Err()
 }
 
+func (i *zoneInstance) isSilenced() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.silenced
+}
+
 func (i *zoneInstance) storeCalls() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -357,3 +360,23 @@
 		z.Expect(z.instances[5].storeCalls() - before).To(gomega.BeNumerically("<=", observed/(4*time.Second)))
 	})
 }
+
+// Guards against an instance that still uses a removed replica when it has been in touch with the store and its sources
+// again for so long that it must know better, because it noticed late that it was.
+func TestRemovedReplicaIsDroppedAfterACutBehindSources(t *testing.T) {
+	withZone(t, 9, func(z *zoneFixture) {
+		instance := z.instances[zoneFollowers+1]
+		for n := range 200 {
+			key := fmt.Sprintf("r/c%d", n)
+			z.put(key, "ready")
+			time.Sleep(sourceRecovery + time.Duration(n)*17*time.Millisecond)
+			instance.set(func() { instance.silenced = true })
+			time.Sleep(cutTime / 2)
+			z.remove(key)
+			time.Sleep(cutTime/2 + time.Duration(n%40)*50*time.Millisecond)
+			instance.set(func() { instance.silenced = false })
+			time.Sleep(inTouchAfter)
+			z.Expect(instance.usable()).To(gomega.BeEmpty(), "round %d", n)
+		}
+	})
+}
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -295,3 +295,29 @@
 		f.Expect(f.store.Store.(*memtopo.Store).Calls()[topo.OpWatch] - before).To(gomega.BeNumerically("<=", 8))
 	})
 }
+
+const (
+	// inTouchAfter is the shortest time of a deployment after which an instance counts as in touch again.
+	inTouchAfter = 4 * time.Second
+	// cutTime is the shortest time of a cut.
+	cutTime = 5500 * time.Millisecond
+)
+
+// Guards against an instance that still uses a removed replica when it has been in touch with the store again for so long
+// that it must know better, because it noticed late that it was.
+func TestRemovedReplicaIsDroppedAfterACut(t *testing.T) {
+	withFixture(t, func(f *fixture) {
+		for n := range 200 {
+			key := fmt.Sprintf("r/c%d", n)
+			f.put(key, "ready")
+			time.Sleep(5*time.Second + time.Duration(n)*17*time.Millisecond)
+			f.store.set(func() { f.store.silent = true })
+			time.Sleep(cutTime / 2)
+			f.remove(key)
+			time.Sleep(cutTime/2 + time.Duration(n%40)*50*time.Millisecond)
+			f.store.set(func() { f.store.silent = false })
+			time.Sleep(inTouchAfter)
+			f.Expect(f.usable()).To(gomega.BeEmpty(), "round %d", n)
+		}
+	})
+}
