stages: read the orders of the test's replicas with their lock

TestOnlyCandidatesCampaign read them while the controllers still ran, which the race detector reports now and then. The checks are the same. 20 runs with the race detector pass.

--- a/stages/controller_test.go
+++ b/stages/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,6 +63,13 @@
 	reliable bool
 }
 
+// received returns the orders that the replicas have received so far.
+func (f *fakeReplicas) received() []receivedOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.orders)
+}
+
 func (f *fakeReplicas) Sequence(_ context.Context, r *upstream.Replica) (int64, upstream.Stage, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -188,10 +196,10 @@
 		_, revision, err := store.List(ctx, "")
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(revision).To(gomega.BeZero(), "nothing was written")
-		g.Expect(fleet.orders).To(gomega.BeEmpty())
+		g.Expect(fleet.received()).To(gomega.BeEmpty())
 		candidate.Store(true)
 		time.Sleep(time.Minute)
-		g.Expect(fleet.orders).NotTo(gomega.BeEmpty())
+		g.Expect(fleet.received()).NotTo(gomega.BeEmpty())
 		cancel()
 		running.Wait()
 	})
