--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -70,8 +70,8 @@
 	// unreached is set while neither the sources nor the store respond. Calls do not wait for changes then, so that the end
 	// of a cut is noticed soon: what the store no longer lists stays in use for a while after it.
 	unreached bool
-	feed       *feed
-	logger     *slog.Logger
+	feed      *feed
+	logger    *slog.Logger
 	// onList is called with all entries, onChange with each changed entry. A deleted entry has a nil Value.
 	onList   func(now time.Time, entries []topo.Entry)
 	onChange func(now time.Time, entry topo.Entry)
