entry, place, upstream: heed replicas that leave or ask for a pause

Change: any response but a 421 can mark the replica's incarnation as leaving. It gets no new request then, whatever the store lists, for ten minutes (30 s before, when only peers could say so), and peers are told. A 503 with Retry-After pauses the replica for this instance, with a random part so that instances do not return at once. Requests go to other replicas; if all pause they are rejected at once, with a Retry-After no earlier than the first end. Events 314 and 315.

--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -95,7 +95,8 @@
 		Suspects: shared.table, Segments: shared.segments,
 		Routing: &entry.Routing{
 			Table: r.discovery.Table, Replicas: r.replicas, Balancer: r.balancer, Dialect: platform.Dialect{}, Pool: r.pool,
-			Budgets: retry.NewServiceBudgets(s.RetryShare, s.RetryWindow.D()),
+			Budgets:   retry.NewServiceBudgets(s.RetryShare, s.RetryWindow.D()),
+			OnLeaving: func(u *upstream.Replica) { r.peers.announceLeaving(*u) },
 		},
 	})
 	r.httpServer = entry.NewHTTPServer(r.server)
@@ -180,6 +181,7 @@
 func (r *routedInstance) prune(ctx context.Context) {
 	for sleep.For(ctx, pruneInterval) {
 		r.pool.Prune(time.Now())
-		r.balancer.Forget(func(incarnation upstream.Incarnation) bool { return !r.replicas.Usable(incarnation) })
+		r.replicas.ExpireLeaving(time.Now())
+		r.balancer.Forget(time.Now(), func(incarnation upstream.Incarnation) bool { return !r.replicas.Usable(incarnation) })
 	}
 }
--- a/entry/events.go
+++ b/entry/events.go
@@ -38,6 +38,11 @@
 			"before. The attribute share is the part that this instance sends, instances the number it is divided over.")
 	eventLimitEnded = event.New(313, "replica limit ended", slog.LevelInfo,
 		"A replica no longer names a limit.")
+	eventReplicaLeaving = event.New(314, "replica leaving", slog.LevelInfo,
+		"A replica's response says that the replica is leaving. This incarnation of it gets no new requests, whatever the store "+
+			"lists, and the peers are notified.")
+	eventReplicaPaused = event.New(315, "replica paused", slog.LevelInfo,
+		"A replica turned a request away and wants none from this instance for asked_ms. It gets none for until_ms.")
 	eventTraceDropped = event.New(309, "trace record dropped", slog.LevelWarn,
 		"The trace file is too slow or failed; a record was dropped.")
 )
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -24,6 +24,8 @@
 	Balancer *place.Balancer
 	Dialect  relay.Dialect
 	Pool     *relay.Pool
+	// OnLeaving is called when a replica reports that it is leaving, unless that was known. It may be nil.
+	OnLeaving func(*upstream.Replica)
 	// Budgets limits the retries of each service.
 	Budgets *retry.ServiceBudgets
 }
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"time"
 
@@ -106,7 +105,10 @@
 		if err := x.remotePrefill(ctx, p); err != nil {
 			return err
 		}
-		attempt.Replica = x.chooseDecodeReplica(p)
+		var err error
+		if attempt.Replica, err = x.chooseDecodeReplica(p); err != nil {
+			return err
+		}
 	}
 	uncached := p.UncachedTokens
 	if x.cacheHandle != nil {
@@ -123,14 +125,18 @@
 }
 
 // chooseDecodeReplica chooses the replica that decodes after a remote prefill. It chooses again, because the batches of
-// the replicas have changed during the prefill.
-func (x *routedExchange) chooseDecodeReplica(p place.Placement) *upstream.Replica {
-	chosen, err := x.choose(time.Now())
-	if err != nil {
-		return p.Replica
+// the replicas have changed during the prefill, or they may have asked for a pause.
+func (x *routedExchange) chooseDecodeReplica(p place.Placement) (*upstream.Replica, error) {
+	now := time.Now()
+	chosen, err := x.choose(now)
+	switch {
+	case err == nil:
+		x.lastPlacement.Replica = chosen.Replica
+		return chosen.Replica, nil
+	case x.routing.Balancer.Paused(now, p.Replica):
+		return nil, errors.Mark(errors.Mark(err, pipeline.ErrNotSent), pipeline.ErrFinal)
 	}
-	x.lastPlacement.Replica = chosen.Replica
-	return chosen.Replica
+	return p.Replica, nil
 }
 
 // mark adds the mark of package pipeline that says how far the attempt got.
@@ -151,7 +157,7 @@
 	balancer := x.routing.Balancer
 	sent := time.Now()
 	queuedBefore := balancer.RecordSend(sent, attempt.Replica, uncached)
-	attempt.OnResponse = x.recordLimit(ctx, attempt.Replica, sent)
+	attempt.OnResponse = x.recordResponse(ctx, attempt.Replica, sent)
 	defer func() { balancer.RecordSendEnd(attempt.Replica, uncached) }()
 	// A retry uses a new connection, because the earlier attempt may have failed because of its connection.
 	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, attempt, x.request.Attempts > 0)
@@ -219,7 +225,7 @@
 	queuedBefore := balancer.RecordSend(sent, p.Prefill, uncached)
 	defer func() { balancer.RecordSendEnd(p.Prefill, uncached) }()
 	attempt := &relay.Attempt{Replica: p.Prefill, Deadline: x.deadline.Add(-deadlineMargin), PromptOnly: true, LastEventID: -1, Priority: x.route.Priority,
-		OnResponse: x.recordLimit(ctx, p.Prefill, sent)}
+		OnResponse: x.recordResponse(ctx, p.Prefill, sent)}
 	ex, err := relay.Send(ctx, x.routing.Pool, x.routing.Dialect, x.call, attempt, false)
 	if err != nil {
 		return nil, err
@@ -244,25 +250,6 @@
 	return handle, nil
 }
 
-// recordLimit returns a function that records the limit that the replica's response names, if any, and logs a change.
-func (x *routedExchange) recordLimit(ctx context.Context, replica *upstream.Replica, sent time.Time) func(relay.ResponseInfo) {
-	return func(info relay.ResponseInfo) {
-		change := x.routing.Balancer.RecordLimit(time.Now(), sent, replica, info.Limit)
-		if change == nil {
-			return
-		}
-		omitted, allowed := x.server.limitLogs.allow()
-		switch {
-		case !allowed:
-		case change.Ended:
-			eventLimitEnded.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID), slog.String("request", x.call.ID), omitted)
-		default:
-			eventLimitNamed.Log(ctx, x.server.opts.Logger, logUpstream(replica.ID), slog.String("request", x.call.ID),
-				slog.Float64("limit", change.PerSecond), slog.Float64("share", change.Share), slog.Int("instances", change.Instances), omitted)
-		}
-	}
-}
-
 // recordAttempt records what the result of an attempt says about the replica, for the choice of replicas, its health
 // and the next attempts of this request. It logs a failure.
 func (x *routedExchange) recordAttempt(ctx context.Context, replica *upstream.Replica, err error) {
--- a/entry/routed_finish.go
+++ b/entry/routed_finish.go
@@ -52,7 +52,7 @@
 		return failure(sent, unavailableStatus(sent), codeSuspectRefused, "the request or a part of its prompt has crashed several replicas").withRetryAfter(suspectRetryAfter)
 	case errors.As(err, &busy):
 		return failure(sent, unavailableStatus(sent), codeTooLate, "the replicas have too much work before this request").
-			withRetryAfter(retry.RetryAfter(busy.Excess, rand.Float64))
+			withRetryAfter(retry.RetryAfter(busy.Excess, busy.Pause, rand.Float64))
 	case errors.Is(err, pipeline.ErrNoUpstream):
 		return failure(sent, unavailableStatus(sent), codeNoUpstream, "no replica of the service takes requests").withRetryAfter(retry.MinRetryAfter)
 	case sent:
--- a/internal/simfleet/exchange.go
+++ b/internal/simfleet/exchange.go
@@ -69,7 +69,7 @@
 	var busy *place.BusyError
 	switch {
 	case errors.As(err, &busy):
-		x.refuse(retry.RetryAfter(busy.Excess, i.random.Float64))
+		x.refuse(retry.RetryAfter(busy.Excess, busy.Pause, i.random.Float64))
 	case err != nil:
 		x.refuse(retry.MinRetryAfter)
 	case p.Prefill != nil:
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -59,13 +59,13 @@
 	return b.random.Float64()
 }
 
-// Forget drops the state of unusable replicas that have no requests in flight. It calls unusable with the lock held, so
-// unusable must not call b.
-func (b *Balancer) Forget(unusable func(upstream.Incarnation) bool) {
+// Forget drops the state of unusable replicas that have no requests in flight and are not paused. It calls unusable with
+// the lock held, so unusable must not call b.
+func (b *Balancer) Forget(now time.Time, unusable func(upstream.Incarnation) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	maps.DeleteFunc(b.states, func(incarnation upstream.Incarnation, state *replicaState) bool {
-		return state.inFlight == 0 && unusable(incarnation)
+		return state.inFlight == 0 && !now.Before(state.pausedUntil) && unusable(incarnation)
 	})
 }
 
--- a/place/engine.go
+++ b/place/engine.go
@@ -52,9 +52,10 @@
 	if len(usable) == 0 || len(decode) == 0 {
 		return Placement{}, ErrNoReplica
 	}
-	decode, limitWait := b.withinLimits(now, decode, req)
+	allDecode := decode
+	decode, limitWait := b.withinLimits(now, allDecode, req)
 	if len(decode) == 0 {
-		return Placement{}, limitedError(now, limitWait, req)
+		return Placement{}, b.limitedError(now, allDecode, limitWait, req)
 	}
 	if req.CacheSource != nil {
 		p := Placement{Replica: b.bestDecode(now, service, decode, req, req.CacheSource)}
@@ -68,7 +69,7 @@
 	preferred, second := preferredReplicas(prefill, req.Prompt.Segments)
 	within, limitWait := b.withinLimits(now, prefill, req)
 	if len(within) == 0 {
-		return Placement{}, limitedError(now, limitWait, req)
+		return Placement{}, b.limitedError(now, prefill, limitWait, req)
 	}
 	for _, r := range within {
 		c := b.prefillCandidate(now, service, r, req, shared, r == preferred)
--- a/place/plain.go
+++ b/place/plain.go
@@ -24,14 +24,14 @@
 	if len(replicas) == 0 {
 		return Placement{}, ErrNoReplica
 	}
-	replicas, limitWait := b.withinLimits(now, replicas, req)
-	if len(replicas) == 0 {
-		return Placement{}, limitedError(now, limitWait, req)
+	within, limitWait := b.withinLimits(now, replicas, req)
+	if len(within) == 0 {
+		return Placement{}, b.limitedError(now, replicas, limitWait, req)
 	}
 	latency := b.stats(service.Name).meanLatency.Seconds() * 1000
 	var best *upstream.Replica
 	bestScore, bestFirst, bestWait := math.Inf(1), 0.0, 0.0
-	for _, r := range replicas {
+	for _, r := range within {
 		incarnation := r.Incarnation()
 		state := b.state(incarnation)
 		slots := float64(firstPositive(state.slots, r.Slots, defaultSlots))
--- a/place/record_limit.go
+++ b/place/record_limit.go
@@ -68,34 +68,37 @@
 }
 
 // withinLimits returns the replicas to which this instance may send a request now, and the time until it may send one to
-// any of the others if there are none. The rest of a response that has begun may go to any replica.
+// any of the others if there are none. The rest of a response that has begun may go to any replica that is not paused.
 func (b *Balancer) withinLimits(now time.Time, replicas []*upstream.Replica, req *Request) (within []*upstream.Replica, wait time.Duration) {
 	limited := 0
 	for _, r := range replicas {
-		l := b.state(r.Incarnation()).limit
-		if l == nil {
-			continue
-		}
-		if w := l.wait(now); w > 0 {
+		if w := b.state(r.Incarnation()).waitToSend(now); w > 0 {
 			if limited == 0 || w < wait {
 				wait = w
 			}
 			limited++
 		}
 	}
-	if limited == 0 || limited == len(replicas) && req.Resumed {
+	if limited == 0 {
 		return replicas, 0
 	}
-	within = make([]*upstream.Replica, 0, len(replicas)-limited)
+	allowed := func(state *replicaState) bool { return state.waitToSend(now) == 0 }
+	if limited == len(replicas) && req.Resumed {
+		allowed = func(state *replicaState) bool { return !now.Before(state.pausedUntil) }
+	}
 	for _, r := range replicas {
-		if l := b.state(r.Incarnation()).limit; l == nil || l.wait(now) == 0 {
+		if allowed(b.state(r.Incarnation())) {
 			within = append(within, r)
 		}
 	}
 	return within, wait
 }
 
-// limitedError is the error if all replicas that could serve a request are at their limits.
-func limitedError(now time.Time, wait time.Duration, req *Request) error {
-	return &BusyError{TimeToFirstByte: wait, Wait: wait, Remaining: req.Deadline.Sub(now), AtLimit: true, Excess: wait}
+// limitedError is the error if all replicas that could serve a request are at their limits or paused.
+func (b *Balancer) limitedError(now time.Time, replicas []*upstream.Replica, wait time.Duration, req *Request) error {
+	pause := wait
+	for _, r := range replicas {
+		pause = min(pause, max(0, b.state(r.Incarnation()).pausedUntil.Sub(now)))
+	}
+	return &BusyError{TimeToFirstByte: wait, Wait: wait, Remaining: req.Deadline.Sub(now), AtLimit: true, Excess: wait, Pause: pause}
 }
--- a/place/replica_state.go
+++ b/place/replica_state.go
@@ -29,6 +29,8 @@
 	refusals        failureRate
 	// limit is nil for a replica that names none.
 	limit *replicaLimit
+	// pausedUntil is the end of the pause that the replica asked for.
+	pausedUntil time.Time
 }
 
 // update applies a load report.
@@ -40,6 +42,15 @@
 	s.reportedAt = now
 }
 
+// waitToSend returns how long the replica's limit or pause allows no request.
+func (s *replicaState) waitToSend(now time.Time) time.Duration {
+	wait := max(0, s.pausedUntil.Sub(now))
+	if s.limit != nil {
+		wait = max(wait, s.limit.wait(now))
+	}
+	return wait
+}
+
 // reportWeight returns the weight of the last load report, 0 to 1.
 func (s *replicaState) reportWeight(now time.Time) float64 {
 	if s.reportedAt.IsZero() {
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -34,6 +34,10 @@
 	Closing bool
 	// KeepAlive is how long the replica keeps an idle connection open, or 0 if the header does not say.
 	KeepAlive time.Duration
+	// Leaving reports that the replica is about to end and wants no new requests.
+	Leaving bool
+	// Pause is how long the replica wants no request from this instance, or 0.
+	Pause time.Duration
 	// Load is the load that the replica reports, or nil.
 	Load *Load
 	// Limit is the number of requests a second that the replica takes from all instances together, or nil if the replica
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -30,9 +30,9 @@
 	missingSince time.Time
 }
 
-// leavingTTL is how long an incarnation that refused a request because it is leaving is remembered. Discovery reports
-// that within seconds.
-const leavingTTL = 30 * time.Second
+// leavingTTL is how long an incarnation that reported that it is leaving is remembered. An instance that is cut off does
+// not learn of its end from discovery. A replica that reports it falsely is excluded for as long.
+const leavingTTL = 10 * time.Minute
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
@@ -98,7 +98,6 @@
 func (r *Registry) MarkLeaving(now time.Time, incarnation Incarnation) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.leaving, func(_ Incarnation, at time.Time) bool { return now.Sub(at) > leavingTTL })
 	if _, known := r.leaving[incarnation]; known {
 		return false
 	}
@@ -107,6 +106,15 @@
 	return true
 }
 
+// ExpireLeaving forgets reports of leaving replicas that are older than leavingTTL.
+func (r *Registry) ExpireLeaving(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := len(r.leaving)
+	maps.DeleteFunc(r.leaving, func(_ Incarnation, at time.Time) bool { return now.Sub(at) > leavingTTL })
+	r.stale = r.stale || len(r.leaving) < before
+}
+
 // MarkLeavingByID is MarkLeaving for the listed incarnation of a replica. It does nothing if that incarnation has
 // another start time than born.
 func (r *Registry) MarkLeavingByID(now time.Time, id string, born int64) {
