soak: replicas that say that they leave, and replicas that ask for pauses

Checks both new rules from what replicas and callers saw: no request sent 2.5 s after an instance had a response which says that the replica leaves, and at most two requests in a pause.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -93,6 +93,7 @@
 		return 0, "", err
 	}
 	req.Host = hostName
+	c.cluster.recorder.recordSent(id, c.instance)
 	req.Header.Set(platform.HeaderRequestID, id)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(callerDeadline.Milliseconds()))
 	if c.kind == pathGrade {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -59,6 +59,10 @@
 		c.replaceReplica(c.randomReplica(random), false)
 	}},
 	{"replica leaves", func(c *cluster, random *rand.Rand, _ time.Duration) { c.replaceReplica(c.randomReplica(random), true) }},
+	{"replica says that it leaves", func(c *cluster, random *rand.Rand, _ time.Duration) { c.leaveBySaying(c.randomReplica(random)) }},
+	{"replica asks for pauses", func(c *cluster, random *rand.Rand, length time.Duration) {
+		c.askForPauses(c.randomReplica(random), length)
+	}},
 	{"replica refuses", withReplicaFault(refuseRequests)},
 	{"replica loses answers", withReplicaFault(loseResponses)},
 	{"replica truncates answers", withReplicaFault(truncateResponses)},
@@ -68,12 +72,7 @@
 	{"replica slow", withReplicaFault(slowResponses)},
 	{"replica sends heads without end", withReplicaFault(sendEndlessHeads)},
 	{"replica sends bodies without end", withReplicaFault(sendEndlessBodies)},
-	{"replica links held", func(c *cluster, random *rand.Rand, length time.Duration) {
-		r := c.randomReplica(random)
-		r.link.Set(faultproxy.Fault{HoldFromTarget: true})
-		time.Sleep(length)
-		r.link.Set(faultproxy.Fault{})
-	}},
+	{"replica links held", func(c *cluster, random *rand.Rand, length time.Duration) { c.holdLink(c.randomReplica(random), length) }},
 	{"replica links reset", func(c *cluster, random *rand.Rand, _ time.Duration) { c.randomReplica(random).link.Reset() }},
 	{"authority cut off", withHolderOutage(func(i *instance) {
 		link := i.linkTo(i.cluster.fleet.Platform.ID)
@@ -104,7 +103,10 @@
 // withLinkFault injects a fault into all links of an instance for a time.
 func withLinkFault(set func(*faultproxy.Link, time.Duration)) func(*cluster, *rand.Rand, time.Duration) {
 	return func(c *cluster, random *rand.Rand, length time.Duration) {
-		list := c.randomInstance(random).allLinks()
+		i := c.randomInstance(random)
+		i.recordDisturbance()
+		defer i.recordDisturbance()
+		list := i.allLinks()
 		for _, l := range list {
 			set(l, length)
 		}
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -24,6 +24,8 @@
 	// stopping is true during a graceful stop, in which processMu keeps other faults away from the process.
 	stopping bool
 	pauses   []pause
+	// disturbedAt is when a fault last began or ended that acts on the process or on its links.
+	disturbedAt time.Time
 }
 
 type pause struct{ from, to time.Time }
@@ -76,6 +78,23 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.pauses = append(i.pauses, pause{time.Now(), end})
+	i.disturbedAt = end.Add(pauseGrace)
+}
+
+// recordDisturbance records that a fault begins or ends that acts on the process or on its links.
+func (i *instance) recordDisturbance() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if now := time.Now(); now.After(i.disturbedAt) {
+		i.disturbedAt = now
+	}
+}
+
+// disturbedSince reports whether a fault has acted on the process or on its links since a time.
+func (i *instance) disturbedSince(at time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.disturbedAt.Before(at)
 }
 
 // recentlyPaused reports whether the instance was paused at a time or within pauseGrace before it.
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -17,6 +17,8 @@
 	responded  map[string]bool
 	// refused are the requests whose callers were told that they had not run, and did not send them again.
 	refused map[string]bool
+	// senders are the last instance to which a caller sent a request, and when, by request ID.
+	senders map[string]sender
 	// handleOwners are the requests whose prompts prefill replicas have processed, by KV cache handle; "" after its
 	// use.
 	handleOwners     map[string]string
@@ -41,10 +43,17 @@
 	platform.Order
 }
 
+// sender is the instance to which a caller sent a request.
+type sender struct {
+	instance *instance
+	at       time.Time
+}
+
 func newRecorder() *recorder {
 	return &recorder{
 		executions: make(map[string]int), responded: make(map[string]bool), refused: make(map[string]bool),
 		handleOwners:     make(map[string]string),
+		senders:          make(map[string]sender),
 		servedByInstance: make(map[string]int), counts: Counts{Faults: make(map[string]int)},
 	}
 }
@@ -72,6 +81,20 @@
 	}
 }
 
+// recordSent records that a caller sends a request to an instance.
+func (r *recorder) recordSent(id string, to *instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.senders[id] = sender{to, time.Now()}
+}
+
+// senderOf returns the instance that got a request from a caller, and when the caller sent it, or nil.
+func (r *recorder) senderOf(id string) (*instance, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.senders[id].instance, r.senders[id].at
+}
+
 func (r *recorder) recordResponse(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -49,6 +49,7 @@
 	link    *faultproxy.Link
 	server  *http.Server
 	crashed sync.Once // by a request with crashingSegment
+	demands *demands
 
 	mu            sync.Mutex
 	entry         upstream.Replica
@@ -63,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{cluster: c, entry: upstream.Replica{
+	r := &replica{cluster: c, demands: newDemands(c.recorder), entry: upstream.Replica{
 		ID: id, Born: time.Now().UnixMilli(), Service: service, Zone: zoneName, Slots: 64, Stage: stage,
 	}}
 	if r.link, err = faultproxy.New(l.Addr().String()); err != nil {
@@ -124,7 +125,7 @@
 	}
 	w.Header().Set(platform.HeaderSignature, id)
 	prefillOnly := req.Header.Get(platform.HeaderStage) == "prefill"
-	if fault == refuseRequests || changingStage || prefillOnly != (stage == upstream.Prefill) {
+	if r.demands.arrive(request, w.Header()) || fault == refuseRequests || changingStage || prefillOnly != (stage == upstream.Prefill) {
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
