entry: count crashes for each message of a chat

Cause: a chat was identified as a whole, so its crashes never added up with those of others; the table of segments served routed requests only.

Change: chats use the table, too. Their segments are the messages but the last one. Each instance counts for itself; the counts are not shared between the instances of the chat interface.

--- a/entry/answers_test.go
+++ b/entry/answers_test.go
@@ -184,6 +184,31 @@
 	})
 }
 
+// Guards against sound requests that are refused because they share a message with one that also has a crashing message.
+func TestSoundMessagesAreServedBesideACrashingOne(t *testing.T) {
+	inFleet(t, 12, nil, func(f *fleet) {
+		for _, e := range f.doc.Models.Engines {
+			f.engine(e.ID).SetFaults(standin.Faults{CrashMarker: "poison"})
+		}
+		send := func(second string, n int) int {
+			body := fmt.Sprintf(`{"model":"small","messages":[{"role":"system","content":"common"},{"role":"user","content":"%s"},`+
+				`{"role":"user","content":"%d"}]}`, second, n)
+			req, err := http.NewRequest(http.MethodPost, "http://"+entryAddr+"/v1/chat/completions", strings.NewReader(body))
+			f.Expect(err).NotTo(gomega.HaveOccurred())
+			req.Header.Set("Authorization", "Bearer "+key)
+			resp, err := f.client.Do(req)
+			f.Expect(err).NotTo(gomega.HaveOccurred())
+			resp.Body.Close()
+			return resp.StatusCode
+		}
+		f.Expect(send("sound", 0)).To(gomega.Equal(http.StatusOK))
+		for n := range 5 {
+			f.Expect(send("poison", n)).NotTo(gomega.Equal(http.StatusOK))
+			f.Expect(send("sound", n)).To(gomega.Equal(http.StatusOK))
+		}
+	})
+}
+
 // Guards against a completion with tokens of two versions: tokens of the old version may be followed by an error, but
 // never by tokens of the new one.
 func TestVersionsAreNeverMixed(t *testing.T) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -30,6 +30,9 @@
 
 // Place implements pipeline.Executor.
 func (g *generation) Place(ctx context.Context) (placement, error) {
+	if err := g.checkSegments(time.Now()); err != nil {
+		return placement{}, g.mark(err)
+	}
 	if g.retrying {
 		if final := g.refreshVersion(); final != nil {
 			return placement{}, errors.Mark(final, pipeline.ErrFinal)
@@ -43,6 +46,12 @@
 func (g *generation) Attempt(ctx context.Context, p placement) error {
 	choice, attempt := p.choice, p.attempt
 	defer func() { attempt.End(time.Now()) }()
+	prompt, err := g.beginSegments(time.Now(), choice.EngineID)
+	if err != nil {
+		return g.mark(errors.Mark(err, pipeline.ErrNotSent))
+	}
+	result := suspect.Unresolved
+	defer func() { prompt.End(time.Now(), result) }()
 	g.attempts++
 	deliveredBefore := len(g.assembler.Delivered())
 	g.server.inFlightRequests.set(InFlightRequest{
@@ -62,12 +71,13 @@
 	}
 	g.server.opts.Router.Finished(time.Now(), choice, g.route, outcome)
 	if err == nil {
+		result = suspect.Answered
 		attempt.RecordSuccess(time.Now())
 		g.server.opts.Health.RecordSuccess(time.Now(), choice.EngineID)
 		return nil
 	}
 	if ctx.Err() == nil && !errors.Is(err, errCallerUnreachable) {
-		g.server.handleAttemptFailure(ctx, g.req.RequestID, choice.EngineID, choice.Address, attempt, err)
+		result = g.server.handleAttemptFailure(ctx, g.req.RequestID, choice.EngineID, choice.Address, attempt, err)
 		g.route.Deprioritized[choice.EngineID] = true
 	}
 	return g.mark(err)
@@ -138,24 +148,29 @@
 }
 
 // handleAttemptFailure logs a failed attempt and records what the error says about the engine: that it is leaving, has
-// crashed or is unhealthy.
-func (s *Server) handleAttemptFailure(ctx context.Context, id, engineID, addr string, attempt *suspect.Attempt, err error) {
+// crashed or is unhealthy. It returns what the error says about the prompt.
+func (s *Server) handleAttemptFailure(ctx context.Context, id, engineID, addr string, attempt *suspect.Attempt, err error) suspect.AttemptResult {
+	result := suspect.Unresolved
 	eventAttemptFailed.Log(ctx, s.opts.Logger, slog.String("request", id), slog.String("engine", engineID),
 		slog.String("error", err.Error()))
 	switch {
 	case errors.Is(err, engine.ErrDraining):
 		s.reportLeaving(ctx, engineID, addr)
-		return
+		return suspect.NotRun
 	case errors.Is(err, engine.ErrOverloaded), errors.Is(err, engine.ErrUnknownModel):
-		return
+		return suspect.NotRun
+	case errors.Is(err, engine.ErrNotSent):
+		result = suspect.NotRun
 	case errors.Is(err, engine.ErrConnectionBroken), errors.Is(err, errNoEndFrame):
 		if s.hasCrashed(ctx, engineID, addr, attempt.Epoch()) {
 			s.metrics.crashes.Inc(1)
 			eventEngineCrashed.Log(ctx, s.opts.Logger, slog.String("engine", engineID))
 			attempt.RecordCrash(time.Now())
+			result = suspect.Crashed
 		}
 	}
 	if s.opts.Health.RecordFailure(time.Now(), engineID) {
 		eventUpstreamEjected.Log(ctx, s.opts.Logger, slog.String("upstream", engineID))
 	}
+	return result
 }
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -26,6 +26,10 @@
 	route       *route.Request
 	assembler   *stream.Assembler
 	fingerprint suspect.Fingerprint
+	// segments are those of the prompt that other requests can share.
+	segments []suspect.Segment
+	// segmentTrial is set if the next attempt may be made although a segment is refused.
+	segmentTrial bool
 	// deliver passes a new token to the caller; nil if the completion is sent in one response.
 	deliver func(token string) error
 
@@ -72,6 +76,7 @@
 		},
 		assembler:   stream.NewAssembler(info.id, version, maxTokens),
 		fingerprint: suspect.ChatFingerprint(info.workspace.Name, model.Name, chat.Messages),
+		segments:    chatSegments(model.Name, chat.Messages),
 	}, nil
 }
 
@@ -126,7 +131,7 @@
 	case errors.As(err, &callerErr):
 		return callerErr
 	case errors.Is(err, suspect.ErrRefused):
-		return failure(g.sent, http.StatusUnprocessableEntity, codeSuspectRefused, "the request has crashed several engines")
+		return failure(g.sent, http.StatusUnprocessableEntity, codeSuspectRefused, "the request or a message of it has crashed several engines")
 	case errors.Is(err, admit.ErrOverShare):
 		return failure(g.sent, http.StatusTooManyRequests, codeOverShare, "the workspace is over its share")
 	case errors.Is(err, pipeline.ErrNoUpstream), errors.Is(err, pipeline.ErrPlannedRefusal):
