--- a/internal/soak/demands.go
+++ b/internal/soak/demands.go
@@ -38,7 +38,7 @@
 	// leaving is set while each response says that the replica leaves, asking while some requests are turned away with a
 	// pause.
 	leaving, asking bool
-	heldAt          time.Time // when the links to the replica were last held
+	heldUntil       time.Time // when the last hold of the links to the replica ends
 	toldLeaving     map[*instance]time.Time
 	pauses          map[*instance]*askedPause
 }
@@ -69,7 +69,7 @@
 	}
 	if p := d.pauses[from]; p != nil && now.Before(p.until) && now.Sub(p.from) > pauseBound {
 		p.arrivals++
-		if p.arrivals == maxPausedArrivals+1 && !from.disturbedSince(p.from) && d.heldAt.Before(p.from) {
+		if p.arrivals == maxPausedArrivals+1 && !from.disturbedSince(p.from) && d.heldUntil.Before(p.from) {
 			d.recorder.recordViolation("pause: %d requests of %s arrived, %s the last, %v before the end of a pause", p.arrivals, from.node.ID,
 				request, p.until.Sub(now))
 		}
@@ -107,11 +107,8 @@
 
 // holdLink holds what a replica sends for a time.
 func (c *cluster) holdLink(r *replica, length time.Duration) {
-	hold := func(fault faultproxy.Fault) {
-		r.demands.set(func() { r.demands.heldAt = time.Now() })
-		r.link.Set(fault)
-	}
-	hold(faultproxy.Fault{HoldFromTarget: true})
+	r.demands.set(func() { r.demands.heldUntil = time.Now().Add(length + pauseGrace) })
+	r.link.Set(faultproxy.Fault{HoldFromTarget: true})
 	time.Sleep(length)
-	hold(faultproxy.Fault{})
+	r.link.Set(faultproxy.Fault{})
 }
