member: the bytes of each kind of record are counted under its own name

Cause: the name of planned changes was missing in kind.String, so their bytes were counted as those of suspicions, and so on; load records had no name. Found while reading; TestKindsHaveTheirOwnNames failed before.

--- a/member/table.go
+++ b/member/table.go
@@ -24,7 +24,7 @@
 
 // String returns the kind as metric names contain it.
 func (k kind) String() string {
-	return [kindCount]string{"leaving", "suspicion", "member", "zone", "load"}[k]
+	return [kindCount]string{"leaving", "planned", "suspicion", "member", "zone", "load"}[k]
 }
 
 // key identifies the subject of records; newer records replace older ones of the same key.
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -85,3 +85,14 @@
 		}
 	})
 }
+
+// Guards against metrics that count the bytes of one kind of record under the name of another.
+func TestKindsHaveTheirOwnNames(t *testing.T) {
+	names := make(map[string]bool)
+	for k := range kindCount {
+		names[k.String()] = true
+	}
+	if names[""] || len(names) != int(kindCount) || kindPlanned.String() != "planned" || kindLoad.String() != "load" {
+		t.Fatalf("names of kinds: %v", names)
+	}
+}
