member: members of other zones are suspected after 8 s; old beats are not relayed

Beats of other zones are sent four at a time, so they are renewed every 4 to 5.5 s, and all members were suspected after 5 s. While this was traced, TestSilentMemberIsDroppedAndRejoins failed in 2 of some 30 runs of the old code: a beat counts as fresh when it arrives, and an instance with a new peer sent it the old beat of a silent member.

Change: suspicion after 8 s for members of other zones; beats that arrived 3 s ago or earlier are not relayed.

Result: TestNoFalseSuspicionBetweenZones failed 5 of 5 before.

--- a/member/choose.go
+++ b/member/choose.go
@@ -118,7 +118,7 @@
 func (s *Service) expire(now time.Time) {
 	live := int64(0)
 	for id, p := range s.presences {
-		age := now.Sub(p.lastBeatAt)
+		age, suspectAfter := now.Sub(p.lastBeatAt), s.suspectAfter(id)
 		k := key{kindMember, id}
 		switch {
 		case id == s.opts.ID:
@@ -137,7 +137,7 @@
 			s.idsByBeatHash[beatHash(id)] = slices.DeleteFunc(
 				s.idsByBeatHash[beatHash(id)], func(other string) bool { return other == id },
 			)
-		case !p.dropped && age >= SuspectAfter && age < SuspectAfter+2*heartbeatInterval:
+		case !p.dropped && age >= suspectAfter && age < suspectAfter+2*heartbeatInterval:
 			s.generation++ // a suspected member polls no engine: assign its engines to other members
 		}
 		if !p.dropped {
--- a/member/options.go
+++ b/member/options.go
@@ -18,11 +18,15 @@
 const (
 	heartbeatInterval = time.Second
 	heartbeatTimeout  = 2 * time.Second
-	// SuspectAfter and DropAfter are the times without a new beat after which a member is suspected or dropped.
+	// SuspectAfter and DropAfter are the times without a new beat after which a member of the own zone is suspected and
+	// any member is dropped.
 	SuspectAfter = 5 * time.Second
 	DropAfter    = 15 * time.Second
 	// pauseThreshold is the time between two ticks above which this process itself must have been paused.
 	pauseThreshold = 3 * time.Second
+	// maxBeatAge is the time since a beat arrived from which on it is no longer sent. Ticks are less than pauseThreshold
+	// apart, so each beat is sent in at least one.
+	maxBeatAge = pauseThreshold
 	// maxHeartbeatBytes bounds the records of a heartbeat to one peer.
 	maxHeartbeatBytes = 2048
 	// maxSnapshotBytes bounds a snapshot of the record table, which must fit into one frame.
@@ -50,7 +54,10 @@
 	recordLifetime         = time.Hour
 	// otherZoneBeatStep is how far the beat of a member of another zone must advance before it is sent again. A step of 4
 	// still renews the beat well within DropAfter, for a quarter of the bytes.
-	otherZoneBeatStep   = 4
+	otherZoneBeatStep = 4
+	// suspectOtherZoneAfter is SuspectAfter for members of other zones, whose beats arrive otherZoneBeatStep at a time.
+	suspectOtherZoneAfter = SuspectAfter + (otherZoneBeatStep-1)*heartbeatInterval
+
 	pollInterval        = time.Second
 	pollTimeout         = 2 * time.Second
 	pollOverlap         = 2 * time.Second
--- a/member/send.go
+++ b/member/send.go
@@ -91,7 +91,7 @@
 // lock is held.
 func (s *Service) buildBatch(id string, state *peerState, now time.Time) (*peerpb.Records, []*entry) {
 	batch := &peerpb.Records{}
-	batch.Beats = s.beatsFor(id, state)
+	batch.Beats = s.beatsFor(id, state, now)
 	s.stats.beatBytes.Inc(int64(beatBytes * len(batch.Beats)))
 	budget := maxHeartbeatBytes - beatBytes*len(batch.Beats)
 	loadBudget := budget
@@ -185,11 +185,12 @@
 	return m
 }
 
-// beatsFor returns the beats that the peer lacks, that of this process first.
-func (s *Service) beatsFor(id string, state *peerState) []uint32 {
+// beatsFor returns the beats that the peer lacks, that of this process first. Beats older than maxBeatAge are left out:
+// a peer counts a beat as fresh when it arrives, so they would make a silent member appear alive. The lock is held.
+func (s *Service) beatsFor(id string, state *peerState, now time.Time) []uint32 {
 	beats := []uint32{beatHash(s.opts.ID) | s.ownRecord.GetBeat()&0xff}
 	for member, p := range s.presences {
-		if member == id || member == s.opts.ID || p.dropped {
+		if member == id || member == s.opts.ID || p.dropped || now.Sub(p.lastBeatAt) >= maxBeatAge {
 			continue
 		}
 		step := uint32(otherZoneBeatStep)
--- a/member/service.go
+++ b/member/service.go
@@ -117,7 +117,8 @@
 	return s.live(func(*peerpb.Member, *presence) bool { return true })
 }
 
-// Suspected reports whether a member is unknown or dropped, or its beat has not advanced for SuspectAfter.
+// Suspected reports whether a member is unknown or dropped, or its beat has not advanced for SuspectAfter, in another
+// zone for suspectOtherZoneAfter.
 func (s *Service) Suspected(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,7 +155,15 @@
 }
 
 func (s *Service) suspected(id string, p *presence, now time.Time) bool {
-	return id != s.opts.ID && now.Sub(p.lastBeatAt) >= SuspectAfter
+	return id != s.opts.ID && now.Sub(p.lastBeatAt) >= s.suspectAfter(id)
+}
+
+// suspectAfter returns the time without a new beat after which a member is suspected. The lock is held.
+func (s *Service) suspectAfter(id string) time.Duration {
+	if s.sameZone(id) {
+		return SuspectAfter
+	}
+	return suspectOtherZoneAfter
 }
 
 // publishOwnRecord stores a copy of the own member record in the table. The lock is held, or the Service is not in use
--- a/member/service_test.go
+++ b/member/service_test.go
@@ -59,6 +59,25 @@
 	})
 }
 
+// Guards against false suspicion between zones, where a member's beat arrives several at a time.
+func TestNoFalseSuspicionBetweenZones(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		c := startCluster(nil, nil, 6, "a1", "a2", "b1")
+		defer c.stop()
+		time.Sleep(configWithin)
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range c.nodes {
+				for _, other := range c.nodes {
+					g.Expect(n != other && n.service.Suspected(other.service.Self())).To(gomega.BeFalse(),
+						"%s suspects %s", n.service.Self(), other.service.Self())
+				}
+			}
+		}
+	})
+}
+
 // Guards against an unreachable or paused member that is not dropped, or that cannot rejoin.
 func TestSilentMemberIsDroppedAndRejoins(t *testing.T) {
 	runInVirtualTime(t, func(t *testing.T) {
