--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -32,7 +32,7 @@
 }
 
 // cases are the cases by the numbers of their folders.
-var cases = map[string]func(*lab) (int, error){"6": foreignEntry, "7": idleConnections, "8": oddLeaving}
+var cases = map[string]func(*lab) (int, error){"6": foreignEntry, "7": idleConnections, "8": oddLeaving, "9": largeEntries}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/lab2/node.go
+++ b/review/lab2/node.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,9 +22,13 @@
 	ended                           chan struct{}
 }
 
-// freeAddress returns a loopback address whose port is free.
+// freeAddress returns a loopback address whose port is free. It has a host of its own where that can be had, so that no
+// client's connection takes the port before the instance listens.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
+	if err != nil {
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	if err != nil {
 		return "", err
 	}
@@ -125,6 +130,18 @@
 	return "no process"
 }
 
+// anonymous returns the bytes of the process's anonymous memory, 0 if it does not run.
+func (n *node) anonymous() int64 {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
+	for line := range strings.Lines(string(data)) {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "RssAnon: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10
+		}
+	}
+	return 0
+}
+
 // kill ends the process.
 func (n *node) kill() {
 	if n.process != nil && n.process.Process != nil {
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -124,17 +124,28 @@
 	answer(w, http.StatusOK, it)
 }
 
+// Limits of a page of a list.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	items, at := []item{}, s.revision
+	found, at := []item{}, s.revision
 	for key, it := range s.items {
 		if strings.HasPrefix(key, r.FormValue("prefix")) && key > r.FormValue("after") {
-			items = append(items, it)
+			found = append(found, it)
 		}
 	}
 	s.mu.Unlock()
-	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
-	answer(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "at": at})
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	n, size := 0, 0
+	for n < len(found) && n < pageItems && size < pageBytes {
+		size += len(found[n].Value)
+		n++
+	}
+	answer(w, http.StatusOK, map[string]any{"items": found[:n], "has_more": n < len(found), "at": at})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
