--- a/review/lab2/idle_connections.go
+++ b/review/lab2/idle_connections.go
@@ -51,10 +51,10 @@
 	stop := make(chan struct{})
 	go l.probe(n, &ready, stop)
 	var mu sync.Mutex
-	var tried, answeredAt []time.Time
+	var tried []time.Time
 	longest, when, most := time.Duration(0), time.Duration(0), 0
 	answered, failed := 0, 0
-	lastAnswer := time.Now()
+	lastAnswer, lastNotReady := time.Now(), time.Now()
 	var users sync.WaitGroup
 	begin := time.Now()
 	tick := time.NewTicker(time.Second / arrivals)
@@ -67,7 +67,6 @@
 			tried = append(tried, at)
 			if ok {
 				answered++
-				answeredAt = append(answeredAt, time.Now())
 				lastAnswer = time.Now()
 			} else {
 				failed++
@@ -87,10 +86,18 @@
 			<-stop
 		})
 		mu.Lock()
-		if gap := time.Since(lastAnswer); gap > longest && ready.Load() {
+		if !ready.Load() {
+			lastNotReady = time.Now()
+		}
+		// Only the time counts for which the machine has said all the while that it is ready.
+		since := lastAnswer
+		if lastNotReady.After(since) {
+			since = lastNotReady
+		}
+		if gap := time.Since(since); gap > longest {
 			recent := 0
 			for _, at := range tried {
-				if at.After(lastAnswer) {
+				if at.After(since) {
 					recent++
 				}
 			}
