--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -32,6 +32,8 @@
 //
 //	PUT    /admin/faults                  replaces the injected faults (Faults); {} ends all
 //	POST   /admin/forget                  drops the history of the store, so that watches must start again
+//	POST   /admin/copy                    copies the store
+//	POST   /admin/restore                 restores the store from the last copy, as an empty one without a copy
 //	GET    /admin/calls                   returns the numbers of calls by operation (Calls)
 //	PUT    /admin/control-faults          replaces the faults of the control API (ControlFaults); {} ends all
 //	GET    /admin/control                 returns the calls of the control API and their violations (ControlRecord)
@@ -52,6 +54,18 @@
 		p.store.Compact()
 		reply(w, struct{}{}, nil)
 	})
+	mux.HandleFunc("POST /admin/copy", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.copy = p.store.Copy()
+		reply(w, struct{}{}, nil)
+	})
+	mux.HandleFunc("POST /admin/restore", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.store.Restore(p.copy)
+		reply(w, struct{}{}, nil)
+	})
 	mux.HandleFunc("GET /admin/calls", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, Calls{Executed: p.store.Calls(), Limited: p.rateLimited.all()}, nil)
 	})
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,9 @@
 	reads       *rate.Limiter
 	rateLimited *callCounts
 	control     *Control
+
+	mu   sync.Mutex // of copy
+	copy memtopo.Copy
 }
 
 // New returns a stand-in with an empty store and an empty instance list.
@@ -57,8 +61,10 @@
 		opts.ReadsPerSecond = 2000
 	}
 	faults := newFaultInjector(opts.Seed)
+	store := memtopo.New(faults)
 	return &Platform{
-		store:       memtopo.New(faults),
+		store:       store,
+		copy:        store.Copy(),
 		directory:   memtopo.NewDirectory(opts.ListLag),
 		faults:      faults,
 		writes:      rate.NewLimiter(rate.Limit(opts.WritesPerSecond), opts.WritesPerSecond),
@@ -85,8 +91,8 @@
 	return mux
 }
 
-// handler executes one call and returns the body of its response.
-type handler func(r *http.Request) (any, error)
+// handler executes one call in an era of the store and returns the body of its response.
+type handler func(r *http.Request, era int64) (any, error)
 
 // limit applies the rate limit to a handler and writes its response. A watch that waits takes one token, as on the
 // platform.
@@ -96,6 +102,7 @@
 		limiter = p.writes
 	}
 	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderEra, strconv.FormatInt(p.store.Era(), 10))
 		if !limiter.Allow() {
 			p.rateLimited.add(op)
 			reply(w, nil, topo.ErrRateLimited)
@@ -106,7 +113,11 @@
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
-		response, err := h(r)
+		era := p.store.Era()
+		response, err := h(r, era)
+		if p.store.Era() != era {
+			panic(http.ErrAbortHandler) // calls in flight are cut when the store is restored
+		}
 		reply(w, response, err)
 	}
 }
@@ -124,14 +135,14 @@
 	json.NewEncoder(w).Encode(response)
 }
 
-func (p *Platform) get(r *http.Request) (any, error) {
+func (p *Platform) get(r *http.Request, _ int64) (any, error) {
 	entry, err := p.store.Get(r.Context(), r.FormValue("key"))
 	return item(entry), err
 }
 
-func (p *Platform) list(r *http.Request) (any, error) {
+func (p *Platform) list(r *http.Request, _ int64) (any, error) {
 	entries, revision, err := p.store.List(r.Context(), r.FormValue("prefix"))
-	page := wire.Page{Items: []wire.Item{}, Revision: revision}
+	page := wire.Page{Items: []wire.Item{}, Revision: topo.Count(revision)}
 	size := 0
 	for _, entry := range entries {
 		if entry.Key <= r.FormValue("after") {
@@ -148,7 +159,7 @@
 }
 
 // txn executes a transaction on one key, the only kind that rhubarbpoint sends.
-func (p *Platform) txn(r *http.Request) (any, error) {
+func (p *Platform) txn(r *http.Request, era int64) (any, error) {
 	var body wire.Txn
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		return nil, err
@@ -156,10 +167,10 @@
 	switch {
 	case len(body.Conditions) == 1 && len(body.Puts) == 1 && len(body.Removes) == 0 && body.Conditions[0].Key == body.Puts[0].Key:
 		put := body.Puts[0]
-		revision, err := p.store.Put(r.Context(), put.Key, put.Value, body.Conditions[0].Revision, topo.LeaseID(put.Lease))
-		return wire.Written{Revision: revision}, err
+		revision, err := p.store.Put(r.Context(), put.Key, put.Value, expected(era, &body), topo.LeaseID(put.Lease))
+		return wire.Written{Revision: topo.Count(revision)}, err
 	case len(body.Conditions) == 1 && len(body.Puts) == 0 && len(body.Removes) == 1 && body.Conditions[0].Key == body.Removes[0]:
-		err := p.store.Delete(r.Context(), body.Removes[0], body.Conditions[0].Revision)
+		err := p.store.Delete(r.Context(), body.Removes[0], expected(era, &body))
 		if errors.Is(err, topo.ErrNotFound) {
 			err = topo.ErrConflict
 		}
@@ -168,7 +179,7 @@
 	return nil, errors.New("only transactions on one key are supported")
 }
 
-func (p *Platform) watch(r *http.Request) (any, error) {
+func (p *Platform) watch(r *http.Request, era int64) (any, error) {
 	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	if err != nil {
 		return nil, err
@@ -177,15 +188,15 @@
 	if err != nil {
 		return nil, err
 	}
-	entries, revision, err := p.store.Watch(r.Context(), r.FormValue("prefix"), after, time.Duration(wait)*time.Millisecond)
-	changes := wire.Changes{Events: []wire.Item{}, Revision: revision}
+	entries, revision, err := p.store.Watch(r.Context(), r.FormValue("prefix"), revisionOf(era, after), time.Duration(wait)*time.Millisecond)
+	changes := wire.Changes{Events: []wire.Item{}, Revision: topo.Count(revision)}
 	for _, entry := range entries {
 		changes.Events = append(changes.Events, item(entry))
 	}
 	return changes, err
 }
 
-func (p *Platform) grant(r *http.Request) (any, error) {
+func (p *Platform) grant(r *http.Request, _ int64) (any, error) {
 	var lease wire.Lease
 	if err := json.NewDecoder(r.Body).Decode(&lease); err != nil {
 		return nil, err
@@ -197,15 +208,18 @@
 	return wire.Lease{ID: int64(id), TTLMillis: lease.TTLMillis}, err
 }
 
-func (p *Platform) keepAlive(r *http.Request) (any, error) {
+func (p *Platform) keepAlive(r *http.Request, _ int64) (any, error) {
 	id, err := strconv.ParseInt(r.PathValue("lease"), 10, 64)
 	if err != nil {
 		return nil, err
 	}
-	return struct{}{}, p.store.KeepAlive(r.Context(), topo.LeaseID(id))
+	if err := p.store.KeepAlive(r.Context(), topo.LeaseID(id)); !errors.Is(err, topo.ErrRestored) {
+		return struct{}{}, err
+	}
+	return struct{}{}, nil // the header tells
 }
 
-func (p *Platform) revoke(r *http.Request) (any, error) {
+func (p *Platform) revoke(r *http.Request, _ int64) (any, error) {
 	id, err := strconv.ParseInt(r.PathValue("lease"), 10, 64)
 	if err != nil {
 		return nil, err
@@ -213,10 +227,21 @@
 	return struct{}{}, p.store.Revoke(r.Context(), topo.LeaseID(id))
 }
 
-// item converts an entry to the platform's wire format.
+// revisionOf returns a revision that a client sent; 0 stands for none in any era.
+func revisionOf(era, count int64) int64 {
+	if count == 0 {
+		return 0
+	}
+	return topo.Revision(era, count)
+}
+
+func expected(era int64, txn *wire.Txn) int64 { return revisionOf(era, txn.Conditions[0].Revision) }
+
+// item converts an entry to the platform's wire format, which counts revisions within an era.
 func item(e topo.Entry) wire.Item {
 	return wire.Item{
-		Key: e.Key, Value: e.Value, Revision: e.Revision, Created: e.Created, Lease: int64(e.Lease), Deleted: e.Value == nil,
+		Key: e.Key, Value: e.Value, Revision: topo.Count(e.Revision), Created: topo.Count(e.Created),
+		Lease: int64(e.Lease), Deleted: e.Value == nil,
 	}
 }
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -14,7 +14,7 @@
 $GO tool staticcheck ./...
 sh scripts/check-docs.sh
 # Only the adapter in folder platform may use the names of the users' platform.
-if git grep -nE 'fencing_token|Not-Executed|Prefix-Hash|Token-Count|kv-txn|Response-Signature|Expect-Instance|Kv-Source|Deadline-Ms|Duty-Holder|Fencing-Token|window_id|X-Api-Key|api_keys|strict_revoke' -- '*.go' ':!platform'; then
+if git grep -nE 'fencing_token|Not-Executed|Prefix-Hash|Token-Count|kv-txn|Response-Signature|Expect-Instance|Kv-Source|Deadline-Ms|Duty-Holder|Fencing-Token|window_id|X-Api-Key|api_keys|strict_revoke|Store-Era' -- '*.go' ':!platform'; then
 	echo "names of the platform outside the folder platform"
 	exit 1
 fi
--- a/topo/errors.go
+++ b/topo/errors.go
@@ -11,6 +11,9 @@
 	ErrRateLimited   = errors.New("topo: rate limit exceeded")
 	// ErrCompacted means that the store has discarded history that a watch would have to return.
 	ErrCompacted = errors.New("topo: history discarded")
+	// ErrRestored means that the store was restored from an older copy since the revision of a watch, or since a lease was last
+	// known. What it has now is not what it had then plus changes, so it must be read again.
+	ErrRestored = errors.New("topo: store restored from an older copy")
 	// ErrTooManyChanges means that the changes that a watch would have to return are too large for a response. The entries
 	// must be read instead.
 	ErrTooManyChanges = errors.New("topo: too many changes for a watch")
--- a/topo/memtopo/lease.go
+++ b/topo/memtopo/lease.go
@@ -8,6 +8,7 @@
 )
 
 type lease struct {
+	era     int64 // in which it was granted or last kept alive
 	ttl     time.Duration
 	expires time.Time
 }
@@ -18,7 +19,7 @@
 	err := s.do(ctx, topo.OpGrant, "", func() error {
 		s.nextLease++
 		id = s.nextLease
-		s.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+		s.content.leases[id] = lease{era: s.era, ttl: ttl, expires: time.Now().Add(ttl)}
 		// Watches must see the expiry also when no call to the store follows.
 		time.AfterFunc(ttl, s.expireLeases)
 		return nil
@@ -32,12 +33,17 @@
 // KeepAlive implements topo.Store.
 func (s *Store) KeepAlive(ctx context.Context, id topo.LeaseID) error {
 	return s.do(ctx, topo.OpKeepAlive, "", func() error {
-		l := s.leases[id]
-		if l == nil {
+		l, found := s.content.leases[id]
+		if !found {
 			return topo.ErrLeaseNotFound
 		}
-		l.expires = time.Now().Add(l.ttl)
+		restored := l.era != s.era
+		l.era, l.expires = s.era, time.Now().Add(l.ttl)
+		s.content.leases[id] = l
 		time.AfterFunc(l.ttl, s.expireLeases)
+		if restored {
+			return topo.ErrRestored
+		}
 		return nil
 	})
 }
@@ -45,7 +51,7 @@
 // Revoke implements topo.Store.
 func (s *Store) Revoke(ctx context.Context, id topo.LeaseID) error {
 	return s.do(ctx, topo.OpRevoke, "", func() error {
-		if s.leases[id] == nil {
+		if _, found := s.content.leases[id]; !found {
 			return topo.ErrLeaseNotFound
 		}
 		s.deleteLease(id)
@@ -61,7 +67,7 @@
 
 func (s *Store) expireLeasesLocked() {
 	now := time.Now()
-	for id, l := range s.leases {
+	for id, l := range s.content.leases {
 		if !now.Before(l.expires) {
 			s.deleteLease(id)
 		}
@@ -69,8 +75,8 @@
 }
 
 func (s *Store) deleteLease(id topo.LeaseID) {
-	delete(s.leases, id)
-	for key, e := range s.entries {
+	delete(s.content.leases, id)
+	for key, e := range s.content.entries {
 		if e.Lease == id {
 			s.remove(key)
 		}
--- a/topo/memtopo/store.go
+++ b/topo/memtopo/store.go
@@ -19,14 +19,20 @@
 	faults Faults
 
 	mu        sync.Mutex
+	era       int64 // how often the store was restored
+	content   content
+	nextLease topo.LeaseID
+	changed   chan struct{} // closed and replaced at each change
+	calls     map[topo.Op]int64
+}
+
+// content is what a copy of the store holds. Its revisions are counted within the era.
+type content struct {
 	revision  int64
 	entries   map[string]topo.Entry
 	deleted   map[string]int64 // revision of deletion, for watches
 	compacted int64            // watches from an earlier revision fail
-	leases    map[topo.LeaseID]*lease
-	nextLease topo.LeaseID
-	changed   chan struct{} // closed and replaced at each change
-	calls     map[topo.Op]int64
+	leases    map[topo.LeaseID]lease
 }
 
 var _ topo.Store = (*Store)(nil)
@@ -37,10 +43,10 @@
 		faults = NoFaults{}
 	}
 	return &Store{
-		faults:  faults,
-		entries: make(map[string]topo.Entry),
-		deleted: make(map[string]int64),
-		leases:  make(map[topo.LeaseID]*lease),
+		faults: faults,
+		content: content{
+			entries: make(map[string]topo.Entry), deleted: make(map[string]int64), leases: make(map[topo.LeaseID]lease),
+		},
 		changed: make(chan struct{}),
 		calls:   make(map[topo.Op]int64),
 	}
@@ -61,11 +67,11 @@
 func (s *Store) Get(ctx context.Context, key string) (topo.Entry, error) {
 	var found topo.Entry
 	err := s.do(ctx, topo.OpGet, key, func() error {
-		e, ok := s.entries[key]
+		e, ok := s.content.entries[key]
 		if !ok {
 			return topo.ErrNotFound
 		}
-		found = clone(e)
+		found = s.present(e)
 		return nil
 	})
 	return found, err
@@ -76,12 +82,12 @@
 	var found []topo.Entry
 	var revision int64
 	err := s.do(ctx, topo.OpList, prefix, func() error {
-		for key, e := range s.entries {
+		for key, e := range s.content.entries {
 			if strings.HasPrefix(key, prefix) {
-				found = append(found, clone(e))
+				found = append(found, s.present(e))
 			}
 		}
-		revision = s.revision
+		revision = topo.Revision(s.era, s.content.revision)
 		return nil
 	})
 	slices.SortFunc(found, func(a, b topo.Entry) int { return strings.Compare(a.Key, b.Key) })
@@ -96,20 +102,21 @@
 	value = append([]byte{}, value...)
 	var revision int64
 	err := s.do(ctx, topo.OpPut, key, func() error {
-		old, exists := s.entries[key]
-		if old.Revision != expect {
+		old, exists := s.content.entries[key]
+		if !s.matches(old, expect) {
 			return topo.ErrConflict
 		}
-		if id != 0 && s.leases[id] == nil {
+		if _, found := s.content.leases[id]; id != 0 && !found {
 			return topo.ErrLeaseNotFound
 		}
-		revision = s.advanceRevision()
-		created := revision
+		count := s.advanceRevision()
+		created := count
 		if exists {
 			created = old.Created
 		}
-		delete(s.deleted, key)
-		s.entries[key] = topo.Entry{Key: key, Value: value, Revision: revision, Created: created, Lease: id}
+		delete(s.content.deleted, key)
+		s.content.entries[key] = topo.Entry{Key: key, Value: value, Revision: count, Created: created, Lease: id}
+		revision = topo.Revision(s.era, count)
 		return nil
 	})
 	if err != nil {
@@ -121,11 +128,11 @@
 // Delete implements topo.Store.
 func (s *Store) Delete(ctx context.Context, key string, expect int64) error {
 	return s.do(ctx, topo.OpDelete, key, func() error {
-		old, exists := s.entries[key]
+		old, exists := s.content.entries[key]
 		if !exists {
 			return topo.ErrNotFound
 		}
-		if old.Revision != expect {
+		if !s.matches(old, expect) {
 			return topo.ErrConflict
 		}
 		s.remove(key)
@@ -143,10 +150,13 @@
 		var last int64
 		var changed chan struct{}
 		err := s.do(ctx, op, prefix, func() error {
-			if after < s.compacted {
+			switch {
+			case after != 0 && topo.Era(after) != s.era:
+				return topo.ErrRestored
+			case topo.Count(after) < s.content.compacted, topo.Count(after) > s.content.revision:
 				return topo.ErrCompacted
 			}
-			found, last, changed = s.changedSince(prefix, after), s.revision, s.changed
+			found, last, changed = s.changedSince(prefix, topo.Count(after)), topo.Revision(s.era, s.content.revision), s.changed
 			return nil
 		})
 		if err != nil || len(found) > 0 {
@@ -167,22 +177,22 @@
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.compacted = s.revision
-	s.deleted = make(map[string]int64)
+	s.content.compacted = s.content.revision
+	s.content.deleted = make(map[string]int64)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 func (s *Store) changedSince(prefix string, after int64) []topo.Entry {
 	var found []topo.Entry
-	for key, e := range s.entries {
+	for key, e := range s.content.entries {
 		if e.Revision > after && strings.HasPrefix(key, prefix) {
-			found = append(found, clone(e))
+			found = append(found, s.present(e))
 		}
 	}
-	for key, revision := range s.deleted {
+	for key, revision := range s.content.deleted {
 		if revision > after && strings.HasPrefix(key, prefix) {
-			found = append(found, topo.Entry{Key: key, Revision: revision})
+			found = append(found, topo.Entry{Key: key, Revision: topo.Revision(s.era, revision)})
 		}
 	}
 	slices.SortFunc(found, func(a, b topo.Entry) int { return int(a.Revision - b.Revision) })
@@ -254,18 +264,28 @@
 }
 
 func (s *Store) advanceRevision() int64 {
-	s.revision++
+	s.content.revision++
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.revision
+	return s.content.revision
 }
 
 func (s *Store) remove(key string) {
-	delete(s.entries, key)
-	s.deleted[key] = s.advanceRevision()
+	delete(s.content.entries, key)
+	s.content.deleted[key] = s.advanceRevision()
+}
+
+// matches reports whether the last change of an entry has the expected revision; both are zero for a key without one.
+func (s *Store) matches(e topo.Entry, expect int64) bool {
+	if e.Revision == 0 || expect == 0 {
+		return e.Revision == expect
+	}
+	return topo.Revision(s.era, e.Revision) == expect
 }
 
-func clone(e topo.Entry) topo.Entry {
+// present returns a copy of an entry with the revisions of the present era.
+func (s *Store) present(e topo.Entry) topo.Entry {
 	e.Value = append([]byte{}, e.Value...)
+	e.Revision, e.Created = topo.Revision(s.era, e.Revision), topo.Revision(s.era, e.Created)
 	return e
 }
--- a/topo/memtopo/store_test.go
+++ b/topo/memtopo/store_test.go
@@ -139,3 +139,35 @@
 	_, _, err = s.Watch(context.Background(), "", last, time.Millisecond)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
+
+// Guards against a restored store whose revisions seem to go back, which keeps what was written since, or which goes on with
+// watches and conditions of the era before.
+func TestRestoreBeginsAnEra(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := t.Context()
+	s := memtopo.New(nil)
+	first, err := s.Put(ctx, "a", []byte("1"), 0, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	lease, err := s.Grant(ctx, time.Minute)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	older := s.Copy()
+	second, err := s.Put(ctx, "a", []byte("2"), first, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	lost, err := s.Grant(ctx, time.Minute)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.Restore(older)
+	restored, err := s.Get(ctx, "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(restored.Value)).To(gomega.Equal("1"))
+	g.Expect(restored.Revision).To(gomega.BeNumerically(">", second))
+	g.Expect(topo.Count(restored.Revision)).To(gomega.Equal(first))
+	for _, expect := range []int64{first, second} {
+		_, err = s.Put(ctx, "a", []byte("3"), expect, 0)
+		g.Expect(err).To(gomega.MatchError(topo.ErrConflict))
+	}
+	_, _, err = s.Watch(ctx, "", second, 0)
+	g.Expect(err).To(gomega.MatchError(topo.ErrRestored))
+	g.Expect(s.KeepAlive(ctx, lost)).To(gomega.MatchError(topo.ErrLeaseNotFound))
+	g.Expect(s.KeepAlive(ctx, lease)).To(gomega.MatchError(topo.ErrRestored))
+	g.Expect(s.KeepAlive(ctx, lease)).To(gomega.Succeed())
+}
--- a/topo/topo.go
+++ b/topo/topo.go
@@ -25,9 +25,11 @@
 	Lease    LeaseID `json:"lease,omitempty"`
 }
 
-// Store is the platform's key-value service. Revisions are store-wide and strictly increasing. Implementations are
-// safe for concurrent use. Each call can fail with ErrUnavailable or ErrRateLimited (certainly not executed) or, for
-// writes, with ErrAmbiguous (may have taken effect, or may still do so).
+// Store is the platform's key-value service. Revisions are store-wide and strictly increasing, also when the store is
+// restored from an older copy, which begins a new era (see Revision): entries that it still has get higher revisions by that,
+// writes that it has lost are gone, and a write that expects a revision of an earlier era fails with ErrConflict.
+// Implementations are safe for concurrent use. Each call can fail with ErrUnavailable or ErrRateLimited (certainly not
+// executed) or, for writes, with ErrAmbiguous (may have taken effect, or may still do so).
 type Store interface {
 	// Get returns the entry of a key, or ErrNotFound.
 	Get(ctx context.Context, key string) (Entry, error)
@@ -41,14 +43,15 @@
 	Delete(ctx context.Context, key string, expect int64) error
 	// Grant creates a lease that expires after ttl unless it is kept alive. Keys attached to it are deleted with it.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// KeepAlive extends a lease by its ttl, or returns ErrLeaseNotFound.
+	// KeepAlive extends a lease by its ttl, or returns ErrLeaseNotFound. ErrRestored means that the lease was extended, but that
+	// the store has been restored since it was granted or last kept alive and may have lost the keys that were attached to it.
 	KeepAlive(ctx context.Context, id LeaseID) error
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, id LeaseID) error
 	// Watch waits up to wait for entries under the prefix that changed after the given revision. It returns their
 	// latest states and the revision to continue from. It returns no entries when the wait is over. If after is 0, it
 	// returns the entries as they are. ErrCompacted means that the history since the revision is no longer available,
-	// ErrTooManyChanges that the changes are too large for a response.
+	// ErrRestored that the revision is of an earlier era, ErrTooManyChanges that the changes are too large for a response.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Entry, int64, error)
 }
 
