--- /dev/null
+++ b/discovery/restore_test.go
@@ -0,0 +1,47 @@
+package discovery_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"rhubarbpoint/topo/memtopo"
+)
+
+// restore makes the store unavailable for a time and then restores it from a copy.
+func (z *zoneFixture) restore(older memtopo.Copy, away time.Duration) {
+	z.store.set(func() { z.store.unavailable = true })
+	time.Sleep(away)
+	z.memory().Restore(older)
+	for key := range z.revisions {
+		entry, _ := z.memory().Get(context.Background(), key)
+		z.revisions[key] = entry.Revision
+	}
+	z.store.set(func() { z.store.unavailable = false })
+}
+
+func (z *zoneFixture) memory() *memtopo.Store { return z.store.Store.(*memtopo.Store) }
+
+// Guards against instances that go on behind changes that they have never seen, because their revisions were given out before
+// the store was restored.
+func TestChangesAfterARestoreAreSeen(t *testing.T) {
+	for _, size := range []int{zoneFollowers, 12} {
+		withZone(t, size, func(z *zoneFixture) {
+			time.Sleep(6 * time.Second)
+			z.put("r/a", "ready")
+			older := z.memory().Copy()
+			z.put("r/b", "ready")
+			z.put("r/c", "ready")
+			time.Sleep(inForce)
+			z.expectUsable("a b c")
+			z.restore(older, 2*time.Second)
+			z.put("r/d", "ready")
+			z.put("r/e", "ready")
+			time.Sleep(2 * inForce)
+			z.expectUsable("a d e")
+			z.put("r/f", "ready")
+			time.Sleep(inForce)
+			z.expectUsable("a d e f")
+		})
+	}
+}
