platform: revisions of the store carry its era

Cause: revisions were taken for an order of all changes. A store that is restored from a copy gives them out again, so a watch could go on behind changes that nobody here had seen, without a 410; a peer's revision could be above all that its source has; and a condition on a revision could hold for another write. The class of fault: a counter compared across a restart of what counts.

Change: the client puts the era that each response names in front of the revisions.

--- a/config/manager/follow.go
+++ b/config/manager/follow.go
@@ -80,7 +80,7 @@
 	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	entries, _, err := m.opts.Store.Watch(call, StoreKey, m.cursor(), wait)
-	if errors.Is(err, topo.ErrCompacted) || errors.Is(err, topo.ErrTooManyChanges) {
+	if errors.Is(err, topo.ErrCompacted) || errors.Is(err, topo.ErrRestored) || errors.Is(err, topo.ErrTooManyChanges) {
 		return errors.CombineErrors(m.list(call), err) // an error, so that watches that fail at once are paced
 	}
 	if ctx.Err() != nil {
--- a/discovery/events.go
+++ b/discovery/events.go
@@ -20,6 +20,8 @@
 			"The attribute error says why that failed; the next source is asked then.")
 	eventHistoryLost = event.New(1302, "history lost", slog.LevelInfo,
 		"The store has compacted the changes since the last watch; all entries are read again.")
+	eventStoreRestored = event.New(1311, "store restored", slog.LevelWarn,
+		"The store was restored from an older copy since the era and the revision that this instance knows. All entries are read again.")
 	eventTooManyChanges = event.New(1310, "too many changes", slog.LevelInfo,
 		"The changes since the last watch are too large for a response; all entries are read again.")
 	eventTableInForce = event.New(1303, "routes in force", slog.LevelInfo,
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -283,7 +283,7 @@
 }
 
 // watch waits for changes and returns the revision to continue from, or -1 if all entries must be read instead, because
-// the history has been compacted or the changes are too large for a response.
+// the history has been compacted, the store has been restored from a copy, or the changes are too large for a response.
 func (f *follower) watch(ctx context.Context, revision int64) (int64, error) {
 	wait := waitAfterPause(f.paused)
 	f.paused = 0
@@ -307,6 +307,9 @@
 	case errors.Is(err, topo.ErrCompacted):
 		eventHistoryLost.Log(ctx, f.logger, slog.Int64("revision", revision))
 		return -1, nil
+	case errors.Is(err, topo.ErrRestored):
+		eventStoreRestored.Log(ctx, f.logger, slog.Int64("era", topo.Era(revision)), slog.Int64("revision", revision))
+		return -1, nil
 	case errors.Is(err, topo.ErrTooManyChanges):
 		eventTooManyChanges.Log(ctx, f.logger, slog.Int64("revision", revision))
 		return -1, nil
