discovery: keep replicas that a restored store lacks

Callers would have seen refusals and retries on fewer replicas for up to two seconds after a short restore.

Cause: replicas that the store's list lacks were kept for a while only after two failed calls, the sign of an outage. A store can be restored faster than that, and entries younger than its copy are missing until the replicas write them again.

Change: a restore, which the follower notices by the era, keeps missing replicas for the same 2.2 s.

Result: TestReplicasThatARestoredStoreLacksAreKept failed before ('a' for 'a b' on instance 0) and passes.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -86,6 +86,8 @@
 	// onContact is called after each call, except one after which all entries must be read. ok reports whether the store
 	// responded.
 	onContact func(now time.Time, ok bool)
+	// onRestored is called when the store was restored from an older copy, before all entries are read again.
+	onRestored func(now time.Time)
 	// onKeepMissing is called when a source still keeps replicas that the store no longer lists.
 	onKeepMissing func(until time.Time)
 	// confirmations keeps the time of the newest confirmation by the store; nil if nobody needs it.
@@ -309,6 +311,7 @@
 		return -1, nil
 	case errors.Is(err, topo.ErrRestored):
 		eventStoreRestored.Log(ctx, f.logger, slog.Int64("era", topo.Era(revision)), slog.Int64("revision", revision))
+		f.onRestored(time.Now())
 		return -1, nil
 	case errors.Is(err, topo.ErrTooManyChanges):
 		eventTooManyChanges.Log(ctx, f.logger, slog.Int64("revision", revision))
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -45,3 +45,24 @@
 		})
 	}
 }
+
+// Guards against replicas that are dropped because the copy from which the store was restored is older than their entries.
+func TestReplicasThatARestoredStoreLacksAreKept(t *testing.T) {
+	for _, size := range []int{zoneFollowers, 12} {
+		withZone(t, size, func(z *zoneFixture) {
+			time.Sleep(6 * time.Second)
+			z.put("r/a", "ready")
+			older := z.memory().Copy()
+			z.put("r/b", "ready")
+			time.Sleep(inForce)
+			z.restore(older, 0)
+			for range 15 {
+				time.Sleep(100 * time.Millisecond)
+				z.expectUsable("a b")
+			}
+			z.put("r/b", "ready")
+			time.Sleep(2 * inForce)
+			z.expectUsable("a b")
+		})
+	}
+}
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -15,8 +15,8 @@
 	"rhubarbpoint/upstream"
 )
 
-// relistTime is how long after a store outage a replica stays in use that the store no longer lists. Replicas whose
-// entries expired during the outage are listed again within two seconds of its end.
+// relistTime is how long after a store outage, or after the store was restored from a copy, a replica stays in use that the
+// store no longer lists. Replicas whose entries expired or are not in the copy are listed again within two seconds.
 const relistTime = 2200 * time.Millisecond
 
 // Options configure a Watcher.
@@ -99,6 +99,7 @@
 	f := &follower{
 		store: w.opts.Store, relay: w.opts.Relay, feed: w.feed, logger: w.opts.Logger,
 		onList: w.applyList, onChange: w.applyEntry, onContact: w.recordContact, onKeepMissing: w.extendKeepMissing,
+		onRestored:    w.recordRestore,
 		confirmations: w.confirmations, peerValue: w.opts.Format.PeerValue, deferred: w.opts.Deferred,
 	}
 	running.Go(func() { f.run(ctx) })
@@ -203,6 +204,9 @@
 	w.failures = 0
 }
 
+// recordRestore keeps the replicas that are not in the copy from which the store was restored.
+func (w *Watcher) recordRestore(now time.Time) { w.extendKeepMissing(now.Add(relistTime)) }
+
 // extendKeepMissing keeps missing replicas until at least the given time.
 func (w *Watcher) extendKeepMissing(until time.Time) {
 	w.mu.Lock()
