duty: one holder at a time across a restore of the store

Cause: the key that tells a holder that there was one before it was lost together with the lease, so the takeover delay was skipped. And a lease that is older than the copy can survive without its key: its holder would have gone on beside the next one.

Change: the writer of the history key skips the delay only in a store that was never restored. A holder whose lease was kept alive across a restore asks for its key, with its own value, before it counts the renewal; without it the lease is lost. With it the term goes on. Fencing tokens grow since revisions carry their era.

--- a/duty/lease_holder.go
+++ b/duty/lease_holder.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -27,7 +28,7 @@
 	// so the holder gets the authority and the token in one step.
 	authorityKey = "rhubarbpoint/stages"
 	// historyKey is written by the first holder ever and is never deleted. Its writer needs no takeoverDelay, because
-	// no other holder preceded it.
+	// no other holder preceded it, unless the store has been restored from a copy.
 	historyKey = "rhubarbpoint/stages-held"
 )
 
@@ -42,8 +43,11 @@
 	name  string
 
 	lease        topo.LeaseID
+	value        []byte    // of authorityKey, unique to the tenure
 	renewalTried time.Time // when the last renewal was sent, successful or not
-	tenure       tenure
+	// uncertain is set while the store, restored from a copy, may have lost authorityKey although it has the lease.
+	uncertain bool
+	tenure    tenure
 }
 
 // NewLeaseHolder returns a holder without a lease. The name is for operators and need not be unique.
@@ -83,17 +87,18 @@
 		return errors.Wrap(err, "duty: create the authority key")
 	}
 	now := time.Now()
-	h.lease, h.renewalTried = lease, now
+	h.lease, h.value, h.renewalTried = lease, value, now
 	h.tenure = tenure{fence: revision, acquired: now, renewed: sent}
 	h.writeHistory(ctx)
 	return nil
 }
 
-// writeHistory writes historyKey. After an error the write may or may not have been executed, so Renew tries again. A
+// writeHistory writes historyKey. A store that has been restored may have lost it together with the lease of a former
+// holder, so its writer is not the first holder then. After an error the write may or may not have been executed, so Renew tries again. A
 // conflict then counts as a former holder, even if it stems from this holder's own write.
 func (h *LeaseHolder) writeHistory(ctx context.Context) {
-	_, err := h.store.Put(ctx, historyKey, []byte(h.name), 0, 0)
-	h.tenure.wroteHistory = err == nil
+	revision, err := h.store.Put(ctx, historyKey, []byte(h.name), 0, 0)
+	h.tenure.wroteHistory = err == nil && !topo.Restored(revision)
 	h.tenure.historyExists = err == nil || errors.Is(err, topo.ErrConflict)
 }
 
@@ -113,16 +118,37 @@
 	if !h.tenure.historyExists {
 		h.writeHistory(ctx)
 	}
-	switch err := h.store.KeepAlive(ctx, h.lease); {
-	case err == nil:
-		h.tenure.renewed = now
+	err := h.store.KeepAlive(ctx, h.lease)
+	switch {
 	case errors.Is(err, topo.ErrLeaseNotFound):
 		h.reset()
 		return false
+	case errors.Is(err, topo.ErrRestored):
+		h.uncertain, err = true, nil
+	}
+	if err == nil && h.uncertain {
+		err = h.findKey(ctx)
+	}
+	switch {
+	case err == nil:
+		h.uncertain, h.tenure.renewed = false, now
+	case errors.Is(err, ErrHeld):
+		h.reset()
+		return false
 	}
 	return true
 }
 
+// findKey returns ErrHeld if the store does not have authorityKey as this holder wrote it: then another holder has
+// acquired the lease, or can do so.
+func (h *LeaseHolder) findKey(ctx context.Context) error {
+	entry, err := h.store.Get(ctx, authorityKey)
+	if errors.Is(err, topo.ErrNotFound) || err == nil && !bytes.Equal(entry.Value, h.value) {
+		return ErrHeld
+	}
+	return errors.Wrap(err, "duty: read the authority key")
+}
+
 // Release revokes the lease. It returns an error of the store, in which case the lease expires by itself.
 func (h *LeaseHolder) Release(ctx context.Context) error {
 	lease := h.lease
@@ -135,4 +161,4 @@
 	return errors.Wrap(h.store.Revoke(ctx, lease), "duty: revoke the lease")
 }
 
-func (h *LeaseHolder) reset() { h.lease, h.tenure = 0, tenure{} }
+func (h *LeaseHolder) reset() { h.lease, h.value, h.uncertain, h.tenure = 0, nil, false, tenure{} }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -102,7 +102,7 @@
 		limiter = p.writes
 	}
 	return func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(wire.HeaderEra, strconv.FormatInt(p.store.Era(), 10))
+		w.Header().Set(wire.HeaderEra, strconv.FormatInt(max(1, p.store.Era()), 10))
 		if !limiter.Allow() {
 			p.rateLimited.add(op)
 			reply(w, nil, topo.ErrRateLimited)
--- a/topo/memtopo/restore.go
+++ b/topo/memtopo/restore.go
@@ -23,7 +23,7 @@
 func (s *Store) Restore(from Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.era++
+	s.era = max(s.era, 1) + 1 // eras count from 1
 	s.content = from.content.clone()
 	paused := time.Since(from.taken)
 	for id, l := range s.content.leases {
@@ -35,7 +35,7 @@
 	s.changed = make(chan struct{})
 }
 
-// Era returns how often the store was restored.
+// Era returns the era of the store, which rises each time it is restored.
 func (s *Store) Era() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/topo/memtopo/store.go
+++ b/topo/memtopo/store.go
@@ -19,7 +19,7 @@
 	faults Faults
 
 	mu        sync.Mutex
-	era       int64 // how often the store was restored
+	era       int64 // 0 until the store is restored, as of a store that names none
 	content   content
 	nextLease topo.LeaseID
 	changed   chan struct{} // closed and replaced at each change
