usage: reports stay as decided when the store is restored

The platform would have got two different reports of one window.

Cause: what was decided was kept in the store alone. Restored from an older copy, the store lacks windows that were sent, and a holder whose term began anew, or a successor, decided them again with the counts that had come since.

Change: what this instance has decided, and what the watch has shown it, stays decided; windows that the store lacks are written again before any is sent.

--- a/daemon/activity.go
+++ b/daemon/activity.go
@@ -13,6 +13,7 @@
 	"rhubarbpoint/operator"
 	"rhubarbpoint/platform"
 	"rhubarbpoint/settings"
+	"rhubarbpoint/topo"
 	"rhubarbpoint/truetime"
 	"rhubarbpoint/usage"
 )
@@ -82,6 +83,13 @@
 	return f.collector.Fleet(time.Now(), demandSpan), nil
 }
 
+// observe records a change of the store for the usage reports.
+func (f *fleetActivity) observe(entry topo.Entry) {
+	if f.reporter != nil {
+		f.reporter.Observe(entry)
+	}
+}
+
 // runDuties reports the usage until the context ends.
 func (f *fleetActivity) runDuties(ctx context.Context) {
 	if f.reporter != nil {
--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -91,6 +91,7 @@
 		OnOtherEntry: func(now time.Time, entry topo.Entry) {
 			shared.merge(now, entry)
 			r.duties.Observe(now, entry)
+			r.activity.observe(entry)
 		},
 		// Only the holder of the duties reads these keys, and it reads them itself.
 		Deferred: func(key string) bool { return key == usage.Key || key == scale.LedgerKey },
--- a/usage/decided.go
+++ b/usage/decided.go
@@ -1,7 +1,9 @@
 package usage
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -52,3 +54,15 @@
 	}
 	return decided, nil
 }
+
+// merge adds the windows of others that decided lacks, and returns the latest of all, in order.
+func merge(decided, others []Decided, most int) []Decided {
+	merged := slices.Clone(decided)
+	for _, other := range others {
+		if !slices.ContainsFunc(decided, func(d Decided) bool { return d.Window == other.Window }) {
+			merged = append(merged, other)
+		}
+	}
+	slices.SortStableFunc(merged, func(a, b Decided) int { return cmp.Compare(a.Window, b.Window) })
+	return merged[max(0, len(merged)-most):]
+}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -68,7 +68,7 @@
 	// fence is that of the term to which the other fields belong, 0 if none.
 	fence int64
 	// known is set if revision and decided are what the store has, which is uncertain after a failed write. confirmed is
-	// set if decided was read in this term, so that its windows are certainly in the store.
+	// set if decided was read or written in this term, so that its windows are certainly in the store.
 	known     bool
 	confirmed bool
 	revision  int64
@@ -84,6 +84,10 @@
 	begunAt time.Time
 
 	fetchedAt, readAt, loggedStoreAt, loggedFetchAt time.Time
+
+	// observed are the latest decided windows that the watch of the store has shown, guarded by observedMu.
+	observedMu sync.Mutex
+	observed   []Decided
 }
 
 // NewReporter returns a Reporter that does nothing before Run.
@@ -104,6 +108,22 @@
 	}
 }
 
+// Observe records a change of a key that the watch of the store has shown; other keys than Key are ignored. What it shows stays
+// decided even if the store is restored from an older copy, since a former holder may have sent it. It is safe for concurrent
+// use.
+func (r *Reporter) Observe(entry topo.Entry) {
+	if entry.Key != Key || entry.Value == nil {
+		return
+	}
+	decided, err := decodeDecided(entry.Value)
+	if err != nil {
+		return // whoever reads the key for a decision reports it
+	}
+	r.observedMu.Lock()
+	defer r.observedMu.Unlock()
+	r.observed = merge(decided, r.observed, r.opts.Schedule.keptWindows())
+}
+
 // tick makes one plan and carries it out.
 func (r *Reporter) tick(ctx context.Context) {
 	term, held := r.opts.Authority.Term(time.Now())
@@ -117,7 +137,7 @@
 		if plan.Fetch && r.fetch(ctx) {
 			plan = next(r.state())
 		}
-		if len(plan.Decide) > 0 {
+		if len(plan.Decide) > 0 || r.known && !r.confirmed {
 			r.decide(ctx, plan.Decide)
 		}
 	}
@@ -186,8 +206,7 @@
 	eventMissed.Log(ctx, r.opts.Logger, slog.Int64("first", first), slog.Int64("last", p.MissedLast))
 }
 
-// read reads the decided windows. If the store has lost them, those that this instance knows stay decided. If they cannot
-// be decoded, nobody knows which windows were decided, so only those that have not ended yet are reported.
+// read reads the decided windows. Those that the store has lost and this instance knows stay decided. If they cannot be decoded, nobody knows which windows were decided, so only those that have not ended yet are reported.
 func (r *Reporter) read(ctx context.Context) bool {
 	if time.Since(r.readAt) < tickInterval {
 		return false
@@ -196,7 +215,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, err := r.opts.Store.Get(call, Key)
-	decided := r.decided
+	var decided []Decided
 	switch {
 	case errors.Is(err, topo.ErrNotFound):
 		entry.Revision = 0
@@ -209,9 +228,14 @@
 			r.first, r.firstKnown = r.opts.Schedule.Containing(r.opts.Clock.Now(time.Now())), true
 		}
 	}
+	r.observedMu.Lock()
+	observed := r.observed
+	r.observedMu.Unlock()
+	kept := r.opts.Schedule.keptWindows()
+	known := merge(merge(decided, r.decided, kept), observed, kept)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.known, r.confirmed, r.revision, r.decided = true, true, entry.Revision, decided
+	r.known, r.confirmed, r.revision, r.decided = true, len(known) == len(decided), entry.Revision, known
 	return true
 }
 
@@ -232,7 +256,7 @@
 	return true
 }
 
-// decide writes the counts of windows into the store. If they are not certainly written, the key is read before anything
+// decide writes the counts of windows into the store, together with those that it has lost. If they are not certainly written, the key is read before anything
 // else is decided, because the write may have been executed, or may be executed later instead of the next.
 func (r *Reporter) decide(ctx context.Context, windows []int64) {
 	decided, missing := slices.Clone(r.decided), make(map[int64]int)
@@ -264,7 +288,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.revision, r.decided = revision, decided
+	r.confirmed, r.revision, r.decided = true, revision, decided
 }
 
 // send makes one attempt to send a window, if the term still lasts. It returns whether another call may follow at once.
