config: write a document again that a restored store lacks

An accepted edit would have been gone for instances that start later, and no edit could be accepted any more ('store holds version 1, but version 2 is in force').

Cause: an instance keeps the highest version in force, but only operators wrote to the store, so nothing brought it back after a restore from an older copy.

Change: an instance that reads everything again after a restore and finds an older document or none writes the one in force, under the condition that nobody else has (event 207), and tries again until the store has it.

Result: TestDocumentThatARestoredStoreLacksIsWrittenAgain failed before (version 1 and 0 for 2) and passes, with two refused writes on the way.

--- a/config/manager/events.go
+++ b/config/manager/events.go
@@ -13,6 +13,9 @@
 		"A document from the store or a peer is unreadable or invalid for this release; the version in force is kept.")
 	eventStoreBehind = event.New(202, "store holds an older configuration", slog.LevelError,
 		"The store has lost the version in force; edits are refused until it holds that version again.")
+	eventWrittenAgain = event.New(207, "configuration written again", slog.LevelWarn,
+		"The store was restored from a copy that holds an older configuration than the one in force, or none. This instance has "+
+			"written the one in force again.")
 	eventReadFailed = event.New(203, "configuration read failed", slog.LevelWarn,
 		"The store could not be read; the version in force is kept. Logged once for each outage.")
 	eventEditAccepted = event.New(204, "configuration edit accepted", slog.LevelInfo,
--- a/config/manager/follow.go
+++ b/config/manager/follow.go
@@ -79,6 +79,9 @@
 func (m *Manager) read(ctx context.Context, wait time.Duration) error {
 	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
+	if m.isDocumentLost() {
+		return m.list(call)
+	}
 	entries, _, err := m.opts.Store.Watch(call, StoreKey, m.cursor(), wait)
 	if errors.Is(err, topo.ErrCompacted) || errors.Is(err, topo.ErrRestored) || errors.Is(err, topo.ErrTooManyChanges) {
 		return errors.CombineErrors(m.list(call), err) // an error, so that watches that fail at once are paced
@@ -100,6 +103,46 @@
 	}
 	m.handleEntries(entries)
 	m.skipTo(revision)
+	err = m.writeLost(ctx, entries, revision)
+	m.mu.Lock()
+	m.documentLost = err != nil
+	m.mu.Unlock()
+	return err
+}
+
+func (m *Manager) isDocumentLost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.documentLost
+}
+
+// writeLost writes the document in force into a store that was restored from an older copy since and has an older document
+// or none. Edits are refused until the store has it again. Of several instances that write, one succeeds.
+func (m *Manager) writeLost(ctx context.Context, entries []topo.Entry, revision int64) error {
+	m.mu.Lock()
+	current := m.current
+	m.mu.Unlock()
+	if current == nil || current.revision == 0 || topo.Era(revision) <= topo.Era(current.revision) {
+		return nil
+	}
+	expect, version := int64(0), int64(0)
+	for _, e := range entries {
+		if e.Key != StoreKey {
+			continue
+		}
+		found, err := newState(e.Value, e.Revision)
+		if err != nil {
+			return nil // reported when the entry was read
+		}
+		expect, version = e.Revision, found.doc.Version
+	}
+	if version >= current.doc.Version {
+		return nil
+	}
+	if _, err := m.opts.Store.Put(ctx, StoreKey, current.value, expect, 0); err != nil {
+		return errors.Wrap(err, "config: write the document that a restored store lacks")
+	}
+	eventWrittenAgain.Log(ctx, m.opts.Logger, slog.Int64("store", version), slog.Int64("in_force", current.doc.Version))
 	return nil
 }
 
--- a/config/manager/manager.go
+++ b/config/manager/manager.go
@@ -58,6 +58,8 @@
 	lastReadErr  error
 	lastRead     time.Time
 	refusals     int64
+	// documentLost is set while the document in force must be written into a restored store again.
+	documentLost bool
 
 	// notifyMu serialises the callbacks. It is never locked while mu is held.
 	notifyMu        sync.Mutex
