daemon: share suspicions again that a restored store has lost

A request or prompt segment that was refused could have crashed replicas again, sent by instances that start after the restore.

Cause: an instance writes its suspicions only when they change.

Change: when all entries are read again and lack what this instance wrote, it writes again.

Result: TestCrashesSurviveARestoreOfTheStore fails without the check and passes with it.

--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -95,8 +95,11 @@
 		},
 		// Only the holder of the duties reads these keys, and it reads them itself.
 		Deferred: func(key string) bool { return key == usage.Key || key == scale.LedgerKey },
-		OnList:   func(now time.Time, entries []topo.Entry) { r.duties.ObserveList(now, entries) },
-		Confirm:  s.RevokeWithin > 0,
+		OnList: func(now time.Time, entries []topo.Entry) {
+			r.duties.ObserveList(now, entries)
+			shared.observeList(entries)
+		},
+		Confirm: s.RevokeWithin > 0,
 		Format: discovery.Format{
 			TableKey: platform.KeyRoutes, ReplicaPrefix: platform.PrefixReplicas, DecodeTable: platform.DecodeTable,
 			ReplicaID: platform.ReplicaID, PeerValue: platform.PeerValue,
--- a/daemon/suspicions.go
+++ b/daemon/suspicions.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,8 +41,11 @@
 	logger   *slog.Logger
 	pending  chan struct{}
 
-	revision int64 // of this instance's key as last seen
-	written  int   // number of records in the last written value
+	revision int64 // of this instance's key as last seen; belongs to run
+
+	mu sync.Mutex
+	// written is the last written value, or nil.
+	written []byte
 }
 
 func newSuspicions(store topo.Store, instance string, logger *slog.Logger) *suspicions {
@@ -54,6 +60,18 @@
 	}
 }
 
+// observeList checks all entries of the store. If they lack what this instance has shared, because the store was restored from
+// an older copy, it shares its suspicions again.
+func (s *suspicions) observeList(entries []topo.Entry) {
+	s.mu.Lock()
+	shared := s.written
+	s.mu.Unlock()
+	i := slices.IndexFunc(entries, func(entry topo.Entry) bool { return entry.Key == s.key })
+	if shared != nil && (i < 0 || !bytes.Equal(entries[i].Value, shared)) {
+		s.scheduleWrite()
+	}
+}
+
 // merge merges the suspicions of another instance, and those that an earlier process of this instance shared, which the
 // next write would otherwise remove from the store.
 func (s *suspicions) merge(now time.Time, entry topo.Entry) {
@@ -78,6 +96,7 @@
 
 // run writes the suspicions after each change until the context ends.
 func (s *suspicions) run(ctx context.Context) {
+	shared := false // the last written value has records
 	for {
 		select {
 		case <-ctx.Done():
@@ -93,7 +112,7 @@
 			Suspicions: requests[:min(len(requests), maxSharedSuspicions)], Segments: s.segments.Records(time.Now()),
 		}
 		n := len(records.Suspicions) + len(records.Segments)
-		if n == 0 && s.written == 0 {
+		if n == 0 && !shared {
 			continue
 		}
 		if err := s.write(ctx, records); err != nil {
@@ -101,7 +120,7 @@
 			s.scheduleWrite()
 			continue
 		}
-		s.written = n
+		shared = n > 0
 	}
 }
 
@@ -115,6 +134,9 @@
 	revision, err := s.store.Put(ctx, s.key, value, s.revision, 0)
 	if err == nil {
 		s.revision = revision
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.written = value
 		return nil
 	}
 	// The key may have been written by an earlier process of this instance, or by a write whose response was lost.
--- a/daemon/suspicions_test.go
+++ b/daemon/suspicions_test.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// list lets each instance read all entries of the store, as after a restore.
+func (f *suspicionFleet) list() {
+	entries, _, err := f.store.List(f.t.Context(), "")
+	f.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, s := range f.instances {
+		s.observeList(entries)
+	}
+}
+
 func (f *suspicionFleet) crash(s *suspicions, incarnation string, segment suspect.Segment) {
 	attempt, err := s.segments.Begin(time.Now(), incarnation, []suspect.Segment{segment}, false)
 	f.Expect(err).NotTo(gomega.HaveOccurred())
@@ -145,3 +154,23 @@
 		fleet.Expect(err).To(gomega.MatchError(suspect.ErrRefused))
 	})
 }
+
+// Guards against a refused prompt segment that may crash replicas again at instances that start after a restored store has
+// lost what the others had shared.
+func TestCrashesSurviveARestoreOfTheStore(t *testing.T) {
+	const bad suspect.Segment = 0xbad
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newSuspicionFleet(t, 0, "a", "b", "c")
+		older := fleet.store.Copy()
+		for i, s := range fleet.instances {
+			fleet.crash(s, string(rune('x'+i)), bad)
+			fleet.share()
+		}
+		fleet.store.Restore(older)
+		fleet.list()
+		late := fleet.start("d")
+		fleet.share()
+		_, err := late.segments.Check(time.Now(), []suspect.Segment{bad})
+		fleet.Expect(errors.Is(err, suspect.ErrRefused)).To(gomega.BeTrue())
+	})
+}
