platform, entry: log the software version of replicas and what a request resumes

Change: event 1305 and the outcome of a request name the version of the replica, and the outcome of a request that takes a stream up names the event and the request that it resumes. Nothing is decided by it yet.

--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -289,7 +289,7 @@
 	}
 	if w.opts.Replicas.Put(replica) {
 		eventReplicaChanged.Log(context.Background(), w.opts.Logger, slog.String("upstream", id),
-			slog.String("service", replica.Service), slog.String("stage", replica.Stage.String()),
+			slog.String("service", replica.Service), slog.String("version", replica.Version), slog.String("stage", replica.Stage.String()),
 			slog.Bool("draining", replica.Draining), slog.Int64("born", replica.Born), slog.Int64("revision", entry.Revision))
 	}
 }
--- a/entry/logged_placement.go
+++ b/entry/logged_placement.go
@@ -15,7 +15,7 @@
 		return nil
 	}
 	attrs := []slog.Attr{
-		logUpstream(p.Replica.ID), logMillis("estimate_ms", p.TimeToFirstByte), logMillis("wait_ms", p.Wait),
+		logUpstream(p.Replica.ID), slog.String("upstream_version", p.Replica.Version), logMillis("estimate_ms", p.TimeToFirstByte), logMillis("wait_ms", p.Wait),
 		logMillis("report_age_ms", p.ReportAge), slog.Int("uncached", p.UncachedTokens),
 	}
 	if p.Prefill != nil {
--- a/entry/routed_finish.go
+++ b/entry/routed_finish.go
@@ -120,6 +120,9 @@
 		attrs = append(attrs, slog.String("workspace", x.call.Workspace))
 	}
 	attrs = append(attrs, x.lastPlacement.attrs()...)
+	if x.call.LastEventID >= 0 {
+		attrs = append(attrs, slog.Int64("resumed_after", x.call.LastEventID), slog.String("resumes", x.call.Resumes))
+	}
 	if failed != nil && x.headerWritten {
 		attrs = append(attrs, slog.Int64("last_event", x.lastEvent))
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -26,6 +26,8 @@
 	Prompt   Prompt
 	// LastEventID is the ID of the last event of the stream that the caller has received, or -1.
 	LastEventID int64
+	// Resumes is the ID of the request that brought the first event of the stream, or empty if the caller does not say.
+	Resumes string
 	// Key is the caller's API key; only its hash is kept.
 	Key traffic.Key
 	// Workspace is the name of the caller's workspace, which each attempt passes on, or empty.
--- a/upstream/replica.go
+++ b/upstream/replica.go
@@ -12,6 +12,8 @@
 	// Born is the start time of the process in Unix milliseconds, 0 if unknown.
 	Born    int64
 	Service string
+	// Version is the version of the replica's software, empty if unknown. Replicas of several versions can serve side by side.
+	Version string
 	Address string
 	Region  string
 	Zone    string
