resume, entry: a stream goes on only at the software version that began it

An instance could not have known better for a stream that a killed one began. The class of fault: a continuation decided without the state that it continues.

Change: package resume. Which versions may have open streams is recorded in the store, so that an instance that starts after all were killed does not take the only version that it sees for the only one there was. A stream of unknown origin is refused at once (503 unknown_origin).

--- a/daemon/routed_instance.go
+++ b/daemon/routed_instance.go
@@ -24,6 +24,7 @@
 	"rhubarbpoint/place"
 	"rhubarbpoint/platform"
 	"rhubarbpoint/relay"
+	"rhubarbpoint/resume"
 	"rhubarbpoint/retry"
 	"rhubarbpoint/scale"
 	"rhubarbpoint/settings"
@@ -51,6 +52,7 @@
 	store      *platform.Client
 	discovery  *discovery.Watcher
 	suspicions *suspicions
+	origins    *resume.Service
 	peers      *routedPeers
 	duties     *duty.Elector
 	// control is nil if the settings name no control API.
@@ -92,12 +94,14 @@
 			shared.merge(now, entry)
 			r.duties.Observe(now, entry)
 			r.activity.observe(entry)
+			r.origins.Observe(entry)
 		},
 		// Only the holder of the duties reads these keys, and it reads them itself.
 		Deferred: func(key string) bool { return key == usage.Key || key == scale.LedgerKey },
 		OnList: func(now time.Time, entries []topo.Entry) {
 			r.duties.ObserveList(now, entries)
 			shared.observeList(entries)
+			r.origins.ObserveList(entries)
 		},
 		Confirm: s.RevokeWithin > 0,
 		Format: discovery.Format{
@@ -109,6 +113,11 @@
 		},
 	})
 	r.peers = newRoutedPeers(s, r.discovery, relay, r.replicas, r.metrics, logger)
+	r.origins = resume.New(resume.Options{
+		Store: r.store, Replicas: r.replicas, Peers: r.peers.transport, Homes: r.peers.homes, Writes: relay.followsStore,
+		Metrics: r.metrics, Logger: logger,
+	})
+	r.origins.Register(r.peers.transport)
 	r.balancer = place.NewBalancer(place.Options{
 		Self: r.peers.member.Self(), Region: s.Region, Zone: s.Zone, Seed: engine.EpochHash(member.NewID(s.Instance)), Instances: r.peers.instances,
 		MaxReplicaBytes: bounds.Replica, Logger: logger, Metrics: r.metrics,
@@ -135,7 +144,7 @@
 			Budgets:      retry.NewServiceBudgets(s.RetryShare, s.RetryWindow.D()),
 			OnLeaving:    func(u *upstream.Replica) { r.peers.announceLeaving(*u) },
 			RevokeWithin: s.RevokeWithin.D(), ConfirmedAge: func() (time.Duration, bool) { return r.discovery.ConfirmedAge(boottime.Now()) },
-			Hedging: newHedging(s, r.balancer),
+			Origins: r.origins, Hedging: newHedging(s, r.balancer),
 		},
 	})
 	r.httpServer = entry.NewHTTPServer(r.server)
@@ -147,6 +156,7 @@
 	state.Register("sources", func() any { return relay.Sources() })
 	state.Register("duties", func() any { return r.duties.State(time.Now()) })
 	state.Register("routes", func() any { return r.discovery.Table() })
+	state.Register("streams", func() any { return r.origins.State() })
 	state.Register("stages", func() any { return r.stages.Dump() })
 	if r.scaling != nil {
 		state.Register("scaling", func() any { return r.scaling.Dump() })
@@ -182,6 +192,7 @@
 	r.running.Go(func() { _ = r.peers.member.Run(partsCtx) }) // returns when its context ends
 	r.serve(func() error { return r.peers.transport.Serve(r.listeners.peer) })
 	r.running.Go(func() { r.suspicions.run(partsCtx) })
+	r.running.Go(func() { r.origins.Run(partsCtx) })
 	r.running.Go(func() { r.activity.exchange.Run(partsCtx) })
 	r.running.Go(func() { r.activity.runDuties(authorityCtx) })
 	r.running.Go(func() {
--- a/daemon/routed_peers.go
+++ b/daemon/routed_peers.go
@@ -57,6 +57,36 @@
 	time.AfterFunc(rand.N(maxAnnounceDelay), func() { p.member.MarkUpstreamLeaving(replica.ID, uint64(replica.Born)) })
 }
 
+const (
+	// zoneHomes and otherHomes are the numbers of instances of this zone, and of each other zone, that may know where a stream
+	// began. A stream is mostly taken up in the zone where it began.
+	zoneHomes  = 6
+	otherHomes = 3
+)
+
+// homes returns the instances that may know where a stream began, those of this zone and those of others.
+func (p *routedPeers) homes(stream string) (zone, others []string) {
+	byZone := make(map[string][]string)
+	own := ""
+	for _, m := range p.member.Live() {
+		name := m.GetRegion() + "/" + m.GetZone()
+		switch id := m.GetId(); {
+		case id == p.member.Self():
+			own = name
+		case !p.member.Suspected(id):
+			byZone[name] = append(byZone[name], id)
+		}
+	}
+	for name, ids := range byZone {
+		if name == own {
+			zone = highestHashes(ids, stream, zoneHomes)
+		} else {
+			others = append(others, highestHashes(ids, stream, otherHomes)...)
+		}
+	}
+	return zone, others
+}
+
 // instances returns the live instances, this one included.
 func (p *routedPeers) instances() []place.Instance {
 	var all []place.Instance
--- a/entry/codes.go
+++ b/entry/codes.go
@@ -27,6 +27,7 @@
 	codeNoUpstream            = "no_upstream"
 	codeOverloaded            = "overloaded"
 	codeSuspectRefused        = "suspect_refused"
+	codeUnknownOrigin         = "unknown_origin"
 	codeRetriesExhausted      = "retries_exhausted"
 	codeStopping              = "stopping"
 	codeIdempotencyKeyMissing = "idempotency_key_missing"
--- a/entry/resumed_version_test.go
+++ b/entry/resumed_version_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -11,12 +12,32 @@
 
 	"github.com/onsi/gomega"
 
+	"rhubarbpoint/entry"
 	"rhubarbpoint/platform"
+	"rhubarbpoint/resume"
+	"rhubarbpoint/topo/memtopo"
 	"rhubarbpoint/upstream"
 )
 
 const eventsOfStream = 6
 
+// inFleetWithOrigins is inRoutedFleet with an instance that knows where streams began, without peers.
+func inFleetWithOrigins(t *testing.T, test func(s *routedFleet)) {
+	var origins *resume.Service
+	inRoutedFleetWith(t, func(s *routedFleet, opts *entry.Options) {
+		origins = resume.New(resume.Options{
+			Store: memtopo.New(nil), Replicas: s.replicas, Homes: func(string) (zone, others []string) { return nil, nil },
+			Writes: func() bool { return true },
+		})
+		opts.Routing.Origins = origins
+	}, func(s *routedFleet) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go origins.Run(ctx)
+		test(s)
+	})
+}
+
 // versionedReplica starts a replica whose events tell its version. It breaks off after each number of events that it receives.
 func (s *routedFleet) versionedReplica(version string, breakAfter <-chan int) {
 	addr := s.replica("model", upstream.Whole, func(w http.ResponseWriter, r *http.Request) {
@@ -83,7 +104,7 @@
 
 // Guards against events of two software versions over the attempts of a caller who takes a stream up again.
 func TestStreamIsTakenUpAtTheVersionThatBeganIt(t *testing.T) {
-	inRoutedFleet(t, func(s *routedFleet) {
+	inFleetWithOrigins(t, func(s *routedFleet) {
 		var begun atomic.Int64
 		for range 2 {
 			for _, version := range []string{"v1", "v2", "v3"} {
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -38,6 +38,9 @@
 	// ConfirmedAge returns the time since the latest moment at which the store certainly still had the routes that Table
 	// returns after the call, or false if that has never been certain. It is used only with RevokeWithin.
 	ConfirmedAge func() (time.Duration, bool)
+	// Origins, if set, knows at which software versions streams began. Without it, streams that callers take up again are
+	// continued at any version.
+	Origins Origins
 	// Hedging, if set, allows second attempts of requests of idempotent routes.
 	Hedging *Hedging
 }
@@ -160,6 +163,9 @@
 		Repeatable: x.route.Repeatable(), MaxAttempts: x.route.MaxAttempts, MaxRetries: maxRoutedRetries,
 		Budget: windowBudget{x.budget},
 	}
+	if unknown := x.findOrigin(ctx); unknown != nil {
+		return x.finishUnknown(ctx, unknown)
+	}
 	err := pipeline.Run(ctx, &x.request, x.executor(time.Now()), func() { x.server.metrics.retries.Inc(1) })
 	if x.outbox != nil {
 		if undelivered := x.outbox.finish(ctx); err == nil {
--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -62,6 +62,9 @@
 	// caller has, or -1.
 	headerWritten bool
 	lastEvent     int64
+	// origin is that of a stream that has begun, answering the replica whose stream is forwarded now.
+	origin    streamOrigin
+	answering *upstream.Replica
 	// pace measures the events of the current attempt.
 	pace eventPace
 	// firstByteAt is when the first byte was written.
@@ -104,7 +107,7 @@
 }
 
 func (x *routedExchange) choose(now time.Time) (place.Placement, error) {
-	replicas, err := x.allowedReplicas(now, x.routing.Replicas.Available(x.service.Name))
+	replicas, err := x.allowedReplicas(now, x.ofOrigin(x.routing.Replicas.Available(x.service.Name)))
 	if err != nil {
 		return place.Placement{}, err
 	}
--- a/entry/routed_finish.go
+++ b/entry/routed_finish.go
@@ -36,6 +36,20 @@
 	return failed
 }
 
+// finishUnknown completes a request that takes up a stream of unknown origin, which must not run.
+func (x *routedExchange) finishUnknown(ctx context.Context, err error) *Error {
+	failed := contextError(ctx, false)
+	if failed == nil {
+		failed = notRun(http.StatusServiceUnavailable, codeUnknownOrigin, "it is not known at which software version the stream began").
+			withRetryAfter(retry.MinRetryAfter)
+	} else {
+		failed.Status = contextErrorStatus(failed, false)
+	}
+	x.logOutcome(ctx, err, failed)
+	x.recordFinished(failed)
+	return failed
+}
+
 // respondOrError writes the buffered response, if there is one and no stream has begun, or returns the error for the
 // caller.
 func (x *routedExchange) respondOrError(ctx context.Context, err error) *Error {
--- a/entry/routed_stream.go
+++ b/entry/routed_stream.go
@@ -27,7 +27,7 @@
 func (x *routedExchange) forwardStream(ctx context.Context, ex *relay.Exchange, attempt *relay.Attempt) error {
 	slot := x.beginSlotTime(attempt.Cache != nil)
 	defer slot.end()
-	x.pace = eventPace{}
+	x.pace, x.answering = eventPace{}, attempt.Replica
 	defer func() { x.routing.Balancer.RecordEvents(time.Now(), attempt.Replica, x.pace.events, x.pace.took()) }()
 	var pending []byte
 	buf := make([]byte, streamReadBytes)
@@ -108,6 +108,7 @@
 	if x.headerWritten {
 		return
 	}
+	x.recordOrigin() // before the caller can have the event, as the stream can break off at any moment then
 	x.headerWritten, x.firstByteAt = true, time.Now()
 	x.server.metrics.firstToken.Update(x.firstByteAt.Sub(x.call.Arrived).Milliseconds())
 	x.recordFirstByte()
--- a/peer/kind.go
+++ b/peer/kind.go
@@ -18,6 +18,8 @@
 	KindWatchStore
 	KindPushActivity
 	KindFetchActivity
+	KindPushOrigins
+	KindFindOrigin
 	kindCount
 )
 
@@ -44,6 +46,10 @@
 		return KindPushActivity
 	case *peerpb.Request_FetchActivity:
 		return KindFetchActivity
+	case *peerpb.Request_PushOrigins:
+		return KindPushOrigins
+	case *peerpb.Request_FindOrigin:
+		return KindFindOrigin
 	}
 	return KindUnknown
 }
--- /dev/null
+++ b/resume/options.go
@@ -0,0 +1,27 @@
+package resume
+
+import (
+	"log/slog"
+
+	"github.com/rcrowley/go-metrics"
+
+	"rhubarbpoint/peer"
+	"rhubarbpoint/topo"
+	"rhubarbpoint/upstream"
+)
+
+// Options configure a Service.
+type Options struct {
+	Store    topo.Store
+	Replicas *upstream.Registry
+	// Peers calls other instances.
+	Peers peer.Client
+	// Homes returns the instances that are told of a stream and asked for it, the preferred ones first: those of this zone and
+	// those of the others. All instances of a zone should return the same ones.
+	Homes func(stream string) (zone, others []string)
+	// Writes reports whether this instance writes the record of versions. With few writers, the calls to the store do not
+	// grow with the number of instances.
+	Writes  func() bool
+	Metrics metrics.Registry
+	Logger  *slog.Logger
+}
--- /dev/null
+++ b/resume/service_test.go
@@ -0,0 +1,246 @@
+package resume_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/peer"
+	"rhubarbpoint/peer/peerpb"
+	"rhubarbpoint/resume"
+	"rhubarbpoint/topo/memtopo"
+	"rhubarbpoint/upstream"
+)
+
+// fleet is a number of instances of one zone in virtual time that follow one store.
+type fleet struct {
+	gomega.Gomega
+	t       *testing.T
+	store   *memtopo.Store
+	running sync.WaitGroup
+
+	mu        sync.Mutex
+	instances map[string]*instance
+	listed    []upstream.Replica
+}
+
+type instance struct {
+	*resume.Service
+	replicas *upstream.Registry
+	stop     context.CancelFunc
+}
+
+func inFleet(t *testing.T, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{Gomega: gomega.NewWithT(t), t: t, store: memtopo.New(nil), instances: make(map[string]*instance)}
+		defer f.running.Wait()
+		defer func() { f.kill(f.names()...) }()
+		test(f)
+	})
+}
+
+// Call implements peer.Client: a call to an instance that is gone gets no response.
+func (f *fleet) Call(ctx context.Context, to string, req *peerpb.Request) (*peerpb.Response, error) {
+	time.Sleep(2 * time.Millisecond)
+	f.mu.Lock()
+	target := f.instances[to]
+	f.mu.Unlock()
+	switch {
+	case target == nil:
+		<-ctx.Done()
+		return nil, peer.ErrNoResponse
+	case req.GetPushOrigins() != nil:
+		return target.HandlePush(ctx, "", req)
+	}
+	return target.HandleFind(ctx, "", req)
+}
+
+func (f *fleet) names() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.instances {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (f *fleet) start(names ...string) {
+	for _, name := range names {
+		i := &instance{replicas: upstream.NewRegistry()}
+		i.Service = resume.New(resume.Options{
+			Store: f.store, Replicas: i.replicas, Peers: f, Writes: func() bool { return true },
+			Homes: func(string) (zone, others []string) {
+				return slices.DeleteFunc(f.names(), func(other string) bool { return other == name }), nil
+			},
+		})
+		var ctx context.Context
+		ctx, i.stop = context.WithCancel(f.t.Context())
+		f.mu.Lock()
+		f.instances[name] = i
+		for _, r := range f.listed {
+			i.replicas.Put(r)
+		}
+		f.mu.Unlock()
+		f.running.Go(func() { i.Run(ctx) })
+		f.running.Go(func() { f.follow(ctx, i) })
+	}
+}
+
+// follow gives an instance the entries of the store.
+func (f *fleet) follow(ctx context.Context, i *instance) {
+	revision := int64(-1)
+	for ctx.Err() == nil {
+		if revision < 0 {
+			entries, at, err := f.store.List(ctx, "")
+			if err == nil {
+				i.ObserveList(entries)
+				revision = at
+			}
+			continue
+		}
+		entries, at, err := f.store.Watch(ctx, "", revision, time.Second)
+		if revision = at; err != nil {
+			revision = -1
+		}
+		for _, entry := range entries {
+			i.Observe(entry)
+		}
+	}
+}
+
+func (f *fleet) kill(names ...string) {
+	for _, name := range names {
+		f.mu.Lock()
+		f.instances[name].stop()
+		delete(f.instances, name)
+		f.mu.Unlock()
+	}
+}
+
+// list makes replicas of the versions the listed ones.
+func (f *fleet) list(versions ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = nil
+	for n, version := range versions {
+		f.listed = append(f.listed, upstream.Replica{ID: fmt.Sprint(version, "-", n), Service: "model", Version: version})
+	}
+	for _, i := range f.instances {
+		for _, id := range i.replicas.IDs() {
+			i.replicas.Remove(id)
+		}
+		for _, r := range f.listed {
+			i.replicas.Put(r)
+		}
+	}
+}
+
+func (f *fleet) find(name, stream string) (string, error) {
+	f.mu.Lock()
+	i := f.instances[name]
+	f.mu.Unlock()
+	return i.Find(f.t.Context(), "model", stream)
+}
+
+func (f *fleet) begin(name, stream, version string) {
+	f.instances[name].Begin("model", stream, version, time.Now().Add(15*time.Second))
+}
+
+// Guards against a stream that cannot be taken up after the instance that began it was killed, or that is taken up at another
+// version, while several versions serve.
+func TestOriginsOutliveTheirInstances(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.list("v1")
+		f.start("a", "b", "c")
+		time.Sleep(2 * time.Second)
+		f.begin("a", "before", "v1") // while one version serves
+		f.list("v1", "v2")
+		time.Sleep(2 * time.Second)
+		f.begin("a", "old", "v1")
+		f.begin("a", "new", "v2")
+		time.Sleep(5 * time.Millisecond)
+		f.kill("a")
+		for _, name := range []string{"b", "c"} {
+			for stream, version := range map[string]string{"before": "v1", "old": "v1", "new": "v2"} {
+				f.Expect(f.find(name, stream)).To(gomega.Equal(version), stream)
+			}
+		}
+		f.start("d")
+		f.Expect(f.find("d", "new")).To(gomega.Equal("v2"))
+		asked := time.Now()
+		_, err := f.find("b", "unknown")
+		f.Expect(err).To(gomega.MatchError(resume.ErrUnknownOrigin))
+		f.Expect(time.Since(asked)).To(gomega.BeNumerically("<", 300*time.Millisecond))
+	})
+}
+
+// Guards against a stream of an old version that is taken for one of the only version that serves, after all instances have
+// lost power: its last replicas have just gone, or are gone by the time of the restart.
+func TestVersionsOutliveAllInstances(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.list("v1")
+		f.start("a", "b", "c")
+		time.Sleep(70 * time.Second)
+		f.Expect(f.find("a", "any")).To(gomega.Equal("v1"))
+		for _, before := range []time.Duration{0, 10 * time.Second} {
+			f.list("v1", "v2")
+			time.Sleep(2 * time.Second)
+			f.list("v2")
+			time.Sleep(before)
+			f.begin("a", "old", "v1")
+			f.kill("a", "b", "c")
+			time.Sleep(time.Second)
+			f.start("a", "b", "c")
+			for range 20 {
+				time.Sleep(200 * time.Millisecond)
+				_, err := f.find("b", "old")
+				f.Expect(err).To(gomega.MatchError(resume.ErrUnknownOrigin))
+			}
+		}
+		time.Sleep(70 * time.Second)
+		f.Expect(f.find("b", "any")).To(gomega.Equal("v2"), "the old version is forgotten")
+	})
+}
+
+// Guards against an instance that takes streams up as if one version served, because the record of versions is missing.
+func TestMissingRecordMeansUnknown(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		empty := f.store.Copy()
+		f.list("v1", "v2")
+		f.start("a")
+		time.Sleep(2 * time.Second)
+		f.list("v2")
+		time.Sleep(2 * time.Second)
+		f.store.Restore(empty)
+		time.Sleep(2 * time.Second) // the record is written again
+		f.kill("a")
+		f.start("b")
+		_, err := f.find("b", "old")
+		f.Expect(err).To(gomega.MatchError(resume.ErrUnknownOrigin))
+		time.Sleep(2 * time.Second)
+		_, err = f.find("b", "old")
+		f.Expect(err).To(gomega.MatchError(resume.ErrUnknownOrigin))
+	})
+}
+
+// Guards against calls to the store that grow with the instances or with time while nothing changes.
+func TestRecordCostsFewCalls(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.list("v1")
+		f.start("a", "b", "c", "d", "e", "f")
+		time.Sleep(time.Minute)
+		f.list("v1", "v2")
+		time.Sleep(time.Minute)
+		f.list("v2")
+		time.Sleep(3 * time.Minute)
+		f.Expect(f.store.Calls()["put"]).To(gomega.BeNumerically("<=", 9))
+	})
+}
