--- a/entry/routed_exchange.go
+++ b/entry/routed_exchange.go
@@ -113,7 +113,7 @@
 	}
 	return x.routing.Balancer.Choose(now, x.service, x.healthy(now, replicas), &place.Request{
 		Prompt: x.call.Prompt, Deadline: x.deadline, Target: x.route.TargetLatency, CacheSource: x.cacheSource,
-		Tried: x.tried, Refused: x.refused, Resumed: x.headerWritten,
+		Tried: x.tried, Refused: x.refused, Resumed: x.headerWritten, TakenUp: x.resumable() && x.call.LastEventID >= 0,
 	})
 }
 
--- a/place/plain.go
+++ b/place/plain.go
@@ -75,7 +75,7 @@
 	}
 	remaining := req.Deadline.Sub(now)
 	excess := p.TimeToFirstByte - remaining
-	if req.Target > 0 {
+	if req.Target > 0 && !req.TakenUp {
 		limit := max(req.Target-(p.TimeToFirstByte-p.Wait), time.Duration(minQueueShare*float64(req.Target)))
 		excess = max(excess, p.Wait-limit)
 	}
--- a/place/request.go
+++ b/place/request.go
@@ -21,4 +21,7 @@
 	Refused map[upstream.Incarnation]bool
 	// Resumed is set for a request whose response has partly been delivered. It is placed even if it will be late.
 	Resumed bool
+	// TakenUp is set for a request that takes up a stream of which the caller has a part already. Its target has been met or
+	// missed, so only the deadline counts.
+	TakenUp bool
 }
