relay: a status outside 100 to 599 is no answer

Seen on other systems (MIXED): a replica in trouble sends an answer with the status 000. Here it was not passed on as an answer, but taken for an informational one, so the request waited for another head until its deadline; and statuses from 600 on were passed on.

Cause: every status below 200 counted as informational.

Change: a number that is no status, or 101, which nobody asked for, ends the attempt as an incomplete response.

Result: the five new cases of TestOnlyCompleteMatchingResponsesAreAccepted failed before (two hung until the end of the test) and pass.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -133,13 +133,23 @@
 		x.conn.SetReadDeadline(time.Now().Add(maxHeadTime))
 		resp, err := http.ReadResponse(x.conn.reader, req)
 		x.conn.SetReadDeadline(time.Time{})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		switch {
+		case err != nil:
+			return nil, err
+		case !isStatus(resp.StatusCode):
+			return nil, errors.Newf("relay: %03d is no status", resp.StatusCode)
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
 		}
 	}
 	return nil, errors.Newf("relay: more than %d informational responses", maxInformational)
 }
 
+// isStatus reports whether a number is the status of a response to a request that asks for no other protocol.
+func isStatus(code int) bool {
+	return code >= http.StatusContinue && code <= 599 && code != http.StatusSwitchingProtocols
+}
+
 // checkHeader returns an error if the response is a refusal, or a success without the signature that it should have.
 func (x *Exchange) checkHeader() error {
 	x.closeDelimited = x.resp.Request.Method != http.MethodHead && x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -141,6 +141,11 @@
 		"nothing":          {"|CLOSE", relay.ErrIncompleteResponse},
 		"reset":            {"|RESET", relay.ErrIncompleteResponse},
 		"no length, reset": {header + "\r\nperhaps all|RESET", relay.ErrIncompleteResponse},
+		"status 000":       {"HTTP/1.1 000 None\r\nId: ID\r\nMark: m\r\nContent-Length: 2\r\n\r\nok|SILENT", relay.ErrIncompleteResponse},
+		"000, then 200":    {"HTTP/1.1 000 None\r\nId: ID\r\nMark: m\r\n\r\n" + header + "Content-Length: 2\r\n\r\nok", relay.ErrIncompleteResponse},
+		"status 099":       {"HTTP/1.1 099 None\r\nId: ID\r\nMark: m\r\nContent-Length: 0\r\n\r\n|SILENT", relay.ErrIncompleteResponse},
+		"status 600":       {"HTTP/1.1 600 None\r\nId: ID\r\nMark: m\r\nContent-Length: 2\r\n\r\nok", relay.ErrIncompleteResponse},
+		"other protocol":   {"HTTP/1.1 101 Switching\r\nId: ID\r\nMark: m\r\n\r\n" + header + "Content-Length: 2\r\n\r\nok", relay.ErrIncompleteResponse},
 		"no signature":     {"HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok", relay.ErrResponseMismatch},
 		"other requests":   {strings.Repeat(response("x", "old"), 3), relay.ErrResponseMismatch},
 		"not run":          {"HTTP/1.1 503 No\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", relay.ErrRefused},
@@ -148,8 +153,10 @@
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			r := newReplica(t, c.response)
+			sent := time.Now()
 			_, err := r.roundTrip(t, relay.NewPool(nil), "1")
 			g.Expect(errors.Is(err, c.want)).To(gomega.BeTrue(), "%v", err)
+			g.Expect(time.Since(sent)).To(gomega.BeNumerically("<", 2*time.Second))
 		})
 	}
 }
