entry: requests at the end of a planned stop get an answer

Cause: the time in which new requests are refused while others are in flight was taken from that of the shutdown until nothing was left, so the errors that the cancelled requests would have got had no time to be written, and their connections were closed at once.

Change: a tenth of the grace period is kept for these answers. New requests are refused with 503 as before, once the balancer has had time to notice; the test guards that too.

--- /dev/null
+++ b/entry/drain_test.go
@@ -0,0 +1,41 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rhubarbpoint/upstream"
+)
+
+// Guards against requests that are cut off without an answer at the end of the grace period, and against ones that are passed
+// on although they come late in it.
+func TestRequestsAtTheEndOfAPlannedStopGetAnAnswer(t *testing.T) {
+	inRoutedFleet(t, func(s *routedFleet) {
+		arrived := 0
+		s.replica("plain", upstream.Whole, func(w http.ResponseWriter, r *http.Request) {
+			arrived++
+			hang(w, r)
+		})
+		drained := make(chan error, 1)
+		results := make(chan *callResult, 10)
+		for range 5 {
+			go func() { results <- s.call("/order/a") }()
+		}
+		time.Sleep(100 * time.Millisecond)
+		go func() { drained <- s.httpServer.Drain(500*time.Millisecond, time.Second) }()
+		time.Sleep(700 * time.Millisecond)
+		late := s.call("/order/a")
+		s.Expect([]any{late.err, late.status}).To(gomega.Equal([]any{nil, http.StatusServiceUnavailable}))
+		for range 5 {
+			r := <-results
+			s.Expect(r.err).NotTo(gomega.HaveOccurred())
+			s.Expect(r.status).To(gomega.Equal(http.StatusBadGateway))
+			s.Expect(r.took).To(gomega.BeNumerically("<", 1600*time.Millisecond))
+		}
+		s.Expect(<-drained).To(gomega.HaveOccurred())
+		s.Expect(arrived).To(gomega.Equal(5))
+	})
+}
--- a/entry/http_server.go
+++ b/entry/http_server.go
@@ -11,9 +11,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// forcedStopTimeout is how long requests that outlived the grace period may still take after their contexts have been
-// cancelled.
-const forcedStopTimeout = 2 * writeTimeout
+const (
+	// forcedStopTimeout is how long requests that outlived the grace period may still take at most after their contexts have
+	// been cancelled.
+	forcedStopTimeout = 2 * writeTimeout
+	// lastAnswersShare is the part of the grace period, as its divisor, that is kept for the answers of these requests.
+	lastAnswersShare = 10
+)
 
 // Listen opens the caller listener. Its TCP keepalive detects an unreachable caller within 15 s.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
@@ -63,8 +67,8 @@
 
 // Drain shuts down gracefully. It reports not ready, keeps accepting requests for delay, so that the load balancer can
 // notice, then refuses new routed requests, closes the listener, and waits for the requests in flight. Requests that
-// outlive the longest allowed deadline, or limit after the delay, get an error. It returns nil if no request was cut
-// off.
+// outlive the longest allowed deadline, or most of limit after the delay, get an error within the rest of it. It returns
+// nil if no request was cut off.
 func (s *HTTPServer) Drain(delay, limit time.Duration) error {
 	ctx := context.Background()
 	logger := s.server.opts.Logger
@@ -73,6 +77,8 @@
 	s.server.DisableKeepAlives()
 	time.Sleep(delay)
 	limit = min(limit, s.server.gracePeriod(time.Now())+writeTimeout)
+	forLastAnswers := min(limit/lastAnswersShare, forcedStopTimeout)
+	limit -= forLastAnswers
 	if s.server.opts.Routing != nil {
 		limit -= s.refuseNewRequests(limit)
 	}
@@ -80,7 +86,7 @@
 	if err != nil {
 		eventDrainOverdue.Log(ctx, logger)
 		s.cancelRequests(errStopping)
-		if s.shutdown(min(limit, forcedStopTimeout)) != nil {
+		if s.shutdown(forLastAnswers) != nil {
 			s.http.Close()
 		}
 	}
