claim: orders run once across a restore of the store

An order of the own interface could run a second time when its caller repeated it after a restore.

Cause: the claim was in the store and in a cache that the first conflict drops; a conflict is what follows a restore.

Change: the instance that writes a partition keeps its last acknowledged slots, and adds their records to a slot that it reads from a later era.

--- a/claim/committer.go
+++ b/claim/committer.go
@@ -47,6 +47,9 @@
 
 	partitions [partitionCount]*partition
 	cache      *lru.Cache[string, *slot]
+	// stored holds the last slots that this instance has written, as the store acknowledged them. A store that was restored
+	// from an older copy may have lost their records.
+	stored *lru.Cache[string, topo.Entry]
 
 	mu      sync.Mutex // guards closed and the start of workers
 	closed  bool
@@ -58,8 +61,12 @@
 	if err != nil {
 		panic(err) // returned only for a size below one
 	}
+	stored, err := lru.New[string, topo.Entry](cachedSlots)
+	if err != nil {
+		panic(err)
+	}
 	c := &committer{
-		ctx: ctx, store: opts.Store, logger: opts.Logger, stats: stats, isWriter: isWriter, cache: cache,
+		ctx: ctx, store: opts.Store, logger: opts.Logger, stats: stats, isWriter: isWriter, cache: cache, stored: stored,
 		directLimiter: rate.NewLimiter(writesPerSecond, writeBurst),
 	}
 	for i := range c.partitions {
@@ -172,20 +179,40 @@
 	defer cancel()
 	c.stats.reads.Inc(1)
 	entry, err := c.store.Get(ctx, name)
-	if errors.Is(err, topo.ErrNotFound) {
-		return newSlot(), nil
-	}
-	if err != nil {
+	s := newSlot()
+	switch {
+	case errors.Is(err, topo.ErrNotFound):
+	case err != nil:
 		return nil, err
+	default:
+		if s, err = decodeSlot(entry); err != nil {
+			return nil, err
+		}
 	}
-	s, err := decodeSlot(entry)
-	if err != nil {
+	if err := c.addLost(name, s); err != nil {
 		return nil, err
 	}
-	c.cache.Add(name, s)
+	if s.revision != 0 {
+		c.cache.Add(name, s)
+	}
 	return s, nil
 }
 
+// addLost adds the records that this instance has written and that a restored store has lost. They are in the store again
+// after the next write of the slot.
+func (c *committer) addLost(name string, s *slot) error {
+	written, found := c.stored.Get(name)
+	if !found || s.revision != 0 && topo.Era(s.revision) <= topo.Era(written.Revision) {
+		return nil
+	}
+	known, err := decodeSlot(written)
+	if err != nil {
+		return err
+	}
+	s.merge(known)
+	return nil
+}
+
 // write applies the operations to the slot and writes the slot to the store. It returns false if the operations have to
 // be retried. The slot must not be used after a failure, since it holds records that may not be in the store.
 func (c *committer) write(name string, s *slot, ops []*op) bool {
@@ -213,6 +240,7 @@
 	}
 	s.revision = revision
 	c.cache.Add(name, s)
+	c.stored.Add(name, topo.Entry{Key: name, Value: value, Revision: revision})
 	for i, o := range ops {
 		o.finish(results[i].current, results[i].err)
 	}
--- a/claim/slot.go
+++ b/claim/slot.go
@@ -79,6 +79,25 @@
 	return proto.CloneOf(current), nil
 }
 
+// merge adds the records and outcomes that another state of the slot has, unless it is of an earlier minute.
+func (s *slot) merge(other *slot) {
+	if other.minute < s.minute {
+		return
+	}
+	if other.minute > s.minute {
+		s.minute, s.records, s.index = other.minute, nil, make(map[key]*peerpb.ClaimRecord)
+	}
+	for _, record := range other.records {
+		current := s.index[key(record.GetKey())]
+		switch {
+		case current == nil:
+			s.add(record)
+		case acceptsOutcome(current, record):
+			current.State, current.Status = record.GetState(), record.GetStatus()
+		}
+	}
+}
+
 // acceptsOutcome reports whether the record is the outcome of the current claim and none is recorded yet.
 func acceptsOutcome(current, record *peerpb.ClaimRecord) bool {
 	return current.GetState() == peerpb.ClaimState_CLAIM_STATE_CLAIMED &&
