--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -56,8 +56,8 @@
 		return false, err
 	}
 	c := &result.Counts
-	fmt.Printf("seed %d: %d requests, %d served, %d refused, %d broken connections, %d executions, %d orders; faults:", seed, c.Sent, c.Served, c.Refused,
-		c.Broken, c.Runs, c.Orders)
+	fmt.Printf("seed %d: %d requests, %d served, %d refused, %d broken connections, %d of %d take-ups went on, %d executions, %d orders; faults:", seed, c.Sent, c.Served, c.Refused,
+		c.Broken, c.WentOn, c.TakenUp, c.Runs, c.Orders)
 	var names []string
 	for name := range c.Faults {
 		names = append(names, name)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -83,10 +83,13 @@
 	for attempt := 0; ; attempt++ {
 		c.cluster.recorder.increment(&c.cluster.recorder.counts.Sent)
 		last := !retry || attempt == 2
-		status, body, err := c.send(client, id)
+		status, body, err := c.send(client, c.instance, id)
 		switch {
 		case err != nil:
 			c.recordBroken(id, status, err)
+			if c.kind == pathChat && status == http.StatusOK {
+				c.takeUp(id, body)
+			}
 			return
 		case status == http.StatusServiceUnavailable:
 			c.cluster.recorder.recordRefusal(id, last)
@@ -109,13 +112,13 @@
 	}
 }
 
-func (c *caller) send(client *http.Client, id string) (int, string, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.instance.node.Address+"/"+c.kind+"/x", strings.NewReader("body of "+id))
+func (c *caller) send(client *http.Client, to *instance, id string, fields ...string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+to.node.Address+"/"+c.kind+"/x", strings.NewReader("body of "+id))
 	if err != nil {
 		return 0, "", err
 	}
 	req.Host = hostName
-	c.cluster.recorder.recordSent(id, c.instance)
+	c.cluster.recorder.recordSent(id, to)
 	req.Header.Set(platform.HeaderRequestID, id)
 	key := c.key
 	if key == "" {
@@ -131,6 +134,9 @@
 			req.Header.Set(platform.HeaderPrefix, fmt.Sprintf(c.segments, xxhash.Sum64String(id)))
 		}
 	}
+	for n := 0; n < len(fields); n += 2 {
+		req.Header.Set(fields[n], fields[n+1])
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
@@ -167,11 +173,9 @@
 
 // checkBody compares the body of a complete response with the one that the request must get.
 func (c *caller) checkBody(id, body string) {
-	want := responseText(id)
 	if c.kind == pathChat || c.kind == pathGrade {
-		want = responseStream(id)
-	}
-	if body != want {
+		c.checkStream(parseStream(body), id)
+	} else if body != responseText(id) {
 		c.cluster.recorder.recordViolation("complete own responses: request %s got %.80q", id, body)
 	}
 }
--- a/internal/soak/crashing_segment.go
+++ b/internal/soak/crashing_segment.go
@@ -52,7 +52,7 @@
 func (c *cluster) sendCrashingTo(client *http.Client, to *instance, n int) {
 	sender := &caller{cluster: c, instance: to, kind: pathGrade, segments: soundSegments + "," + crashingSegment + ",%x:2600"}
 	id := fmt.Sprintf("%s-crashing-%d", c.name, n)
-	if status, _, err := sender.send(client, id); err == nil && status == http.StatusOK {
+	if status, _, err := sender.send(client, sender.instance, id); err == nil && status == http.StatusOK {
 		c.recorder.recordViolation("complete own responses: request %s got a response, but its segment crashes replicas", id)
 	}
 }
@@ -73,7 +73,7 @@
 		to := c.instances[n%len(c.instances)]
 		c.sendCrashingTo(client, to, 1_000_000+n)
 		sound := &caller{cluster: c, instance: to, kind: pathGrade, segments: soundSegments + ",%x:2600"}
-		if status, _, err := sound.send(client, fmt.Sprintf("%s-sound-%d", c.name, n)); err == nil && status == http.StatusOK {
+		if status, _, err := sound.send(client, sound.instance, fmt.Sprintf("%s-sound-%d", c.name, n)); err == nil && status == http.StatusOK {
 			served++
 		}
 	}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -46,6 +46,15 @@
 	{"store forgets", func(c *cluster, _ *rand.Rand, _ time.Duration) {
 		c.callAdmin(http.MethodPost, "/admin/forget", struct{}{})
 	}},
+	{"store restored from a copy", func(c *cluster, _ *rand.Rand, length time.Duration) {
+		c.callAdmin(http.MethodPost, "/admin/copy", struct{}{})
+		time.Sleep(length)
+		c.callAdmin(http.MethodPut, "/admin/faults", standin.Faults{Outage: standin.OutageRefuse})
+		time.Sleep(length / 4)
+		c.callAdmin(http.MethodPost, "/admin/restore", struct{}{})
+		c.callAdmin(http.MethodPut, "/admin/faults", standin.Faults{})
+		c.writer.rewrite()
+	}},
 	{"links slow", withLinkFault(func(l *faultproxy.Link, length time.Duration) { l.Set(faultproxy.Fault{Delay: length / 10}) })},
 	{"links held towards the other side", withLinkFault(func(l *faultproxy.Link, _ time.Duration) { l.Set(faultproxy.Fault{HoldToTarget: true}) })},
 	{"links held from the other side", withLinkFault(func(l *faultproxy.Link, _ time.Duration) { l.Set(faultproxy.Fault{HoldFromTarget: true}) })},
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -96,7 +96,7 @@
 		}
 		c.recorder.mu.Unlock()
 		sender := &caller{cluster: c, instance: to, kind: pathLook, key: rotatingKey(version)}
-		if status, _, err := sender.send(client, id); err == nil && status == http.StatusOK {
+		if status, _, err := sender.send(client, sender.instance, id); err == nil && status == http.StatusOK {
 			c.recorder.increment(&c.recorder.counts.RotatingServed)
 		}
 	}
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -41,7 +41,9 @@
 	// RevokedSent counts the requests that were sent later than revokeWithin after the removal of their key,
 	// RotatingServed those with such a key that were served.
 	RevokedSent, RotatingServed int
-	Faults                      map[string]int
+	// TakenUp counts the attempts to take a broken stream up again, WentOn those that completed it.
+	TakenUp, WentOn int
+	Faults          map[string]int
 }
 
 // stageOrder is an order that changes a replica's stage, with the time at which the replica received it.
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -27,6 +27,9 @@
 	switchTime = 500 * time.Millisecond
 )
 
+// softwareVersions are those of the replicas of each service, in turn.
+var softwareVersions = []string{"v1", "v2", "v2"}
+
 // replicaFault is a fault injected into a replica.
 type replicaFault int
 
@@ -66,6 +69,7 @@
 	}
 	r := &replica{cluster: c, demands: newDemands(c.recorder), entry: upstream.Replica{
 		ID: id, Born: time.Now().UnixMilli(), Service: service, Zone: zoneName, Slots: 64, Stage: stage,
+		Version: softwareVersions[c.replicasStarted%len(softwareVersions)],
 	}}
 	if r.link, err = faultproxy.New(l.Addr().String()); err != nil {
 		return nil, err
@@ -203,7 +207,7 @@
 				reset(w)
 				return
 			}
-			io.WriteString(w, streamEvent(event, request))
+			io.WriteString(w, streamEvent(event, request, r.entry.Service, r.entry.Version))
 			if control.Flush() != nil {
 				return
 			}
@@ -291,18 +295,9 @@
 	return "done: " + request + strings.Repeat(".", length)
 }
 
-// streamEvent is one event of a stream.
-func streamEvent(n int, request string) string {
-	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, request)
-}
-
-// responseStream is the body of a response that is a stream.
-func responseStream(request string) string {
-	text := ""
-	for event := 1; event <= streamEvents; event++ {
-		text += streamEvent(event, request)
-	}
-	return text
+// streamEvent is one event of a stream. It tells which software wrote it.
+func streamEvent(n int, request, service, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s\nsoftware: %s %s\n\n", n, request, service, version)
 }
 
 func (r *replica) handleReport(w http.ResponseWriter) {
