--- a/place/taken_up_test.go
+++ b/place/taken_up_test.go
@@ -12,14 +12,12 @@
 func TestTargetDoesNotCountForStreamsThatAreTakenUp(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now, balancer, list := time.Unix(0, 0), newBalancer(1), engines(1, 2)
-	refused := 0
 	for i := range uint64(200) {
 		for _, takenUp := range []bool{false, true} {
 			req := newRequest(now, prompt(i, i))
 			req.TakenUp = takenUp
 			p, err := balancer.Choose(now, model, list, req)
 			if err != nil && !takenUp {
-				refused++
 				req.TakenUp = true
 				_, err = balancer.Choose(now, model, list, req)
 				g.Expect(err).NotTo(gomega.HaveOccurred(), "request %d", i)
@@ -36,5 +34,5 @@
 			}
 		}
 	}
-	g.Expect(refused).To(gomega.BeNumerically(">", 0))
+	t.Error("no request was refused")
 }
