entry: time for the last answers is not taken from the longest deadline

Found on reading: it took ten seconds from the grace period also where the caller of Drain gives more time than the longest deadline, so requests of the own interface with a deadline of 120 s were ended after 115 s.

Change: the time is taken from the limit that the caller gives. With the users' platform, whose limit is shorter, nothing changes.

Result: TestDrainWaitsForTheLongestDeadline failed before and passes.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -1,7 +1,10 @@
 package entry_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +42,28 @@
 		s.Expect(arrived).To(gomega.Equal(5))
 	})
 }
+
+// Guards against a graceful shutdown that ends a request before its deadline although there is time.
+func TestDrainWaitsForTheLongestDeadline(t *testing.T) {
+	inFleet(t, 1, nil, func(f *fleet) {
+		const tokens = int(118 * time.Second / tokenInterval)
+		answered := make(chan string, 1)
+		go func() {
+			body := fmt.Sprintf(`{"model":"small","max_tokens":%d,"messages":[{"role":"user","content":"m"}]}`, tokens)
+			req, _ := http.NewRequest(http.MethodPost, "http://"+entryAddr+"/v1/chat/completions", strings.NewReader(body))
+			req.Header.Set("Authorization", "Bearer "+key)
+			req.Header.Set("Request-Deadline", "119900")
+			resp, err := f.client.Do(req)
+			if err != nil {
+				answered <- err.Error()
+				return
+			}
+			defer resp.Body.Close()
+			data, _ := io.ReadAll(resp.Body)
+			answered <- string(data)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		f.drain(0)
+		f.Expect(<-answered).To(gomega.ContainSubstring(fmt.Sprintf(`"completion_tokens":%d`, tokens)))
+	})
+}
--- a/entry/http_server.go
+++ b/entry/http_server.go
@@ -15,7 +15,7 @@
 	// forcedStopTimeout is how long requests that outlived the grace period may still take at most after their contexts have
 	// been cancelled.
 	forcedStopTimeout = 2 * writeTimeout
-	// lastAnswersShare is the part of the grace period, as its divisor, that is kept for the answers of these requests.
+	// lastAnswersShare is the part of the limit, as its divisor, that is kept for the answers of these requests.
 	lastAnswersShare = 10
 )
 
@@ -76,9 +76,8 @@
 	s.ready.Store(false)
 	s.server.DisableKeepAlives()
 	time.Sleep(delay)
-	limit = min(limit, s.server.gracePeriod(time.Now())+writeTimeout)
 	forLastAnswers := min(limit/lastAnswersShare, forcedStopTimeout)
-	limit -= forLastAnswers
+	limit = min(limit-forLastAnswers, s.server.gracePeriod(time.Now())+writeTimeout)
 	if s.server.opts.Routing != nil {
 		limit -= s.refuseNewRequests(limit)
 	}
