--- a/duty/lease_holder.go
+++ b/duty/lease_holder.go
@@ -93,9 +93,9 @@
 	return nil
 }
 
-// writeHistory writes historyKey. A store that has been restored may have lost it together with the lease of a former
-// holder, so its writer is not the first holder then. After an error the write may or may not have been executed, so Renew tries again. A
-// conflict then counts as a former holder, even if it stems from this holder's own write.
+// writeHistory writes historyKey. After an error the write may or may not have been executed, so Renew tries again. A
+// conflict then counts as a former holder, even if it stems from this holder's own write. A store that was restored may have
+// lost the key together with the lease of a former holder, so its writer does not count as the first holder.
 func (h *LeaseHolder) writeHistory(ctx context.Context) {
 	revision, err := h.store.Put(ctx, historyKey, []byte(h.name), 0, 0)
 	h.tenure.wroteHistory = err == nil && !topo.Restored(revision)
