--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,9 +18,9 @@
 // on although they come late in it.
 func TestRequestsAtTheEndOfAPlannedStopGetAnAnswer(t *testing.T) {
 	inRoutedFleet(t, func(s *routedFleet) {
-		arrived := 0
+		var arrived atomic.Int64
 		s.replica("plain", upstream.Whole, func(w http.ResponseWriter, r *http.Request) {
-			arrived++
+			arrived.Add(1)
 			hang(w, r)
 		})
 		drained := make(chan error, 1)
@@ -39,7 +40,7 @@
 			s.Expect(r.took).To(gomega.BeNumerically("<", 1600*time.Millisecond))
 		}
 		s.Expect(<-drained).To(gomega.HaveOccurred())
-		s.Expect(arrived).To(gomega.Equal(5))
+		s.Expect(arrived.Load()).To(gomega.BeEquivalentTo(5))
 	})
 }
 
