--- a/config/manager/restore_test.go
+++ b/config/manager/restore_test.go
@@ -13,8 +13,7 @@
 	"rhubarbpoint/topo/memtopo"
 )
 
-// Guards against an accepted edit that a restored store has lost: an instance that starts later would serve by an older
-// document, and no edit could be accepted any more.
+// Guards against a lost edit, and against edits that are refused for good because the store is behind.
 func TestDocumentThatARestoredStoreLacksIsWrittenAgain(t *testing.T) {
 	for name, edits := range map[string]int{"older document": 1, "no document": 0} {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/suspicions_test.go
+++ b/daemon/suspicions_test.go
@@ -155,8 +155,7 @@
 	})
 }
 
-// Guards against a refused prompt segment that may crash replicas again at instances that start after a restored store has
-// lost what the others had shared.
+// Guards against a refused prompt segment that may crash replicas again after the store has lost the record of it.
 func TestCrashesSurviveARestoreOfTheStore(t *testing.T) {
 	const bad suspect.Segment = 0xbad
 	synctest.Test(t, func(t *testing.T) {
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -22,8 +22,7 @@
 
 func (z *zoneFixture) memory() *memtopo.Store { return z.store.Store.(*memtopo.Store) }
 
-// Guards against instances that go on behind changes that they have never seen, because their revisions were given out before
-// the store was restored.
+// Guards against instances that go on behind changes that they have never seen.
 func TestChangesAfterARestoreAreSeen(t *testing.T) {
 	for _, size := range []int{zoneFollowers, 12} {
 		withZone(t, size, func(z *zoneFixture) {
@@ -67,8 +66,7 @@
 	}
 }
 
-// Guards against requests to replicas that were leaving or gone before the restore, because the copy still has their older
-// entries, and against replicas that stay out of use although they are alive.
+// Guards against use of replicas that left before the restore, and against sound ones that stay out of use.
 func TestReplicasThatLeftStayOutAfterARestore(t *testing.T) {
 	for _, size := range []int{zoneFollowers, 12} {
 		withZone(t, size, func(z *zoneFixture) {
--- a/duty/restore_test.go
+++ b/duty/restore_test.go
@@ -43,8 +43,7 @@
 	})
 }
 
-// Guards against a holder that goes on with a lease whose key a restored store has lost, and against one that gives up although
-// the store still has both.
+// Guards against a holder whose key the store has lost, and against one that gives up although it has not.
 func TestHolderAsksForItsKeyAfterARestore(t *testing.T) {
 	for _, kept := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -14,8 +14,7 @@
 	"rhubarbpoint/upstream"
 )
 
-// Guards against requests that are cut off without an answer at the end of the grace period, and against ones that are passed
-// on although they come late in it.
+// Guards against requests without an answer at the end of the grace period, and against late ones that are passed on.
 func TestRequestsAtTheEndOfAPlannedStopGetAnAnswer(t *testing.T) {
 	inRoutedFleet(t, func(s *routedFleet) {
 		var arrived atomic.Int64
--- a/place/taken_up_test.go
+++ b/place/taken_up_test.go
@@ -7,8 +7,7 @@
 	"github.com/onsi/gomega"
 )
 
-// Guards against a stream that is refused for its target latency although its caller has a part of it already, and against
-// one that is placed although it cannot go on before its deadline.
+// Guards against streams that are refused for their target latency although their callers have a part of them.
 func TestTargetDoesNotCountForStreamsThatAreTakenUp(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now, balancer, list := time.Unix(0, 0), newBalancer(1), engines(1, 2)
--- a/resume/service_test.go
+++ b/resume/service_test.go
@@ -154,8 +154,7 @@
 	f.instances[name].Begin("model", stream, version, time.Now().Add(15*time.Second))
 }
 
-// Guards against a stream that cannot be taken up after the instance that began it was killed, or that is taken up at another
-// version, while several versions serve.
+// Guards against streams that cannot be taken up, or at another version, after the instance that began them was killed.
 func TestOriginsOutliveTheirInstances(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		f.list("v1")
@@ -182,8 +181,7 @@
 	})
 }
 
-// Guards against a stream of an old version that is taken for one of the only version that serves, after all instances have
-// lost power: its last replicas have just gone, or are gone by the time of the restart.
+// Guards against a stream of an old version that is taken for one of the only version left, after all instances restarted.
 func TestVersionsOutliveAllInstances(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		f.list("v1")
--- a/topo/memtopo/store_test.go
+++ b/topo/memtopo/store_test.go
@@ -140,8 +140,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
-// Guards against a restored store whose revisions seem to go back, which keeps what was written since, or which goes on with
-// watches and conditions of the era before.
+// Guards against a restored store that goes on with revisions, watches, conditions or leases of the era before.
 func TestRestoreBeginsAnEra(t *testing.T) {
 	g := gomega.NewWithT(t)
 	ctx := t.Context()
--- a/usage/restore_test.go
+++ b/usage/restore_test.go
@@ -10,8 +10,7 @@
 	"rhubarbpoint/usage"
 )
 
-// Guards against a second, different report of a window whose decision a restored store has lost, by the same holder or by a
-// successor.
+// Guards against a second, different report of a window, by the same holder or by a successor.
 func TestRestoredStoreDoesNotChangeReports(t *testing.T) {
 	for _, succession := range []bool{false, true} {
 		inFleet(t, 5, nil, func(f *fleet) {
